Add the OpenSearch-style front and its transport to run stores

Clients send POST /{index}/_search, where the index is the class; each shard is asked for by itself in the same API. A part's answer counts only if it is a 200 whose JSON is sound, with no failed shard and no time-out; 429 alone says that a search was not begun. A search is given up by closing its connection, and one connection at a time comes up. Off unless the configuration says "api": "opensearch".

--- a/src/config.rs
+++ b/src/config.rs
@@ -33,10 +33,24 @@
     /// The list of run stores as it was last known.
     #[serde(default)]
     pub known: List,
+    /// What clients and run stores speak.
+    #[serde(default)]
+    pub api: Api,
     /// The settings of the site.
     pub settings: Info,
 }
 
+/// What clients and run stores speak.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Api {
+    /// The platform's protocol, and frames.
+    #[default]
+    Platform,
+    /// The OpenSearch-style API.
+    Opensearch,
+}
+
 /// What the process may use.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default)]
@@ -83,6 +97,11 @@
         if !self.seed.is_empty() && u64::from_str_radix(&self.seed, 16).is_err() {
             return Err("key seed: must be up to 16 hex digits".into());
         }
+        if self.api == Api::Opensearch && self.settings.domain.shards.is_none_or(|shards| shards == 0) {
+            return Err(
+                "key settings.domain.shards: the OpenSearch-style API needs their number, 1 or more".into()
+            );
+        }
         if self.settings.domain.class_fetch.iter().any(|parts| *parts > 0) {
             return Err("key settings.domain.class_fetch: a second step is not spoken on sockets".into());
         }
--- /dev/null
+++ b/src/front/opensearch/merge.rs
@@ -0,0 +1,167 @@
+//! Answers of single shards, merged into one. Hits stay as the run stores gave them.
+
+use std::cmp::Ordering;
+
+use serde::Serialize;
+use serde_json::value::RawValue;
+use serde_json::Value;
+
+use crate::transport::opensearch::answer::{Found, Hit, Total};
+
+/// The order of hits: the directions of a search's sort keys; none for falling scores.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Order(Vec<bool>);
+
+impl Order {
+    /// Reads a `sort`; `None` if it is malformed.
+    pub fn read(sort: &Value) -> Option<Self> {
+        let one = std::slice::from_ref(sort);
+        let keys = sort.as_array().map_or(one, Vec::as_slice);
+        keys.iter().map(descending).collect::<Option<_>>().map(Order)
+    }
+
+    fn compare(&self, one: &Hit, other: &Hit) -> Ordering {
+        if self.0.is_empty() {
+            return score(other).total_cmp(&score(one));
+        }
+        for (at, descending) in self.0.iter().enumerate() {
+            let order = match (one.sort.get(at), other.sort.get(at)) {
+                (Some(a), Some(b)) => compare(a, b, *descending),
+                _ => Ordering::Equal,
+            };
+            if order.is_ne() {
+                return order;
+            }
+        }
+        Ordering::Equal
+    }
+}
+
+/// Whether a sort key falls; scores do by themselves.
+fn descending(key: &Value) -> Option<bool> {
+    let (field, order) = match key {
+        Value::String(field) => (field.as_str(), None),
+        Value::Object(keys) if keys.len() == 1 => {
+            let (field, how) = keys.iter().next()?;
+            let order = match how {
+                Value::String(order) => Some(order.as_str()),
+                Value::Object(how) => how.get("order").map(Value::as_str).unwrap_or(None),
+                _ => return None,
+            };
+            (field.as_str(), order)
+        }
+        _ => return None,
+    };
+    match order {
+        Some("desc") => Some(true),
+        Some("asc") => Some(false),
+        Some(_) => None,
+        None => Some(field == "_score"),
+    }
+}
+
+/// Missing values come last in either direction.
+fn compare(one: &Value, other: &Value, descending: bool) -> Ordering {
+    let order = match (one, other) {
+        (Value::Null, Value::Null) => return Ordering::Equal,
+        (Value::Null, _) => return Ordering::Greater,
+        (_, Value::Null) => return Ordering::Less,
+        (Value::String(a), Value::String(b)) => a.cmp(b),
+        (a, b) => match (a.as_i64(), b.as_i64()) {
+            (Some(a), Some(b)) => a.cmp(&b),
+            _ => a.as_f64().unwrap_or(0.0).total_cmp(&b.as_f64().unwrap_or(0.0)),
+        },
+    };
+    if descending {
+        order.reverse()
+    } else {
+        order
+    }
+}
+
+fn score(hit: &Hit) -> f64 {
+    hit.score.unwrap_or(f64::NEG_INFINITY)
+}
+
+/// The merged `hits` of an answer.
+#[derive(Serialize)]
+pub struct Merged {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    total: Option<Total>,
+    max_score: Option<f64>,
+    hits: Vec<Box<RawValue>>,
+}
+
+/// Merges the answers of shards; hits from `from` on, `size` of them.
+///
+/// # Errors
+/// If an answer is not of the form that the transport let through.
+pub fn merge<'a>(
+    answers: impl Iterator<Item = &'a [u8]>,
+    order: &Order,
+    from: usize,
+    size: usize,
+) -> Result<Merged, String> {
+    let mut all: Vec<(Hit, Box<RawValue>)> = Vec::new();
+    let mut merged = Merged { total: None, max_score: None, hits: Vec::new() };
+    for answer in answers {
+        let found = Found::read(answer)?;
+        if let Some(more) = found.total {
+            merged.total = Some(match merged.total.take() {
+                None => more,
+                // One shard that stopped counting makes the sum a lower bound.
+                Some(sum) => Total {
+                    value: sum.value.saturating_add(more.value),
+                    relation: if sum.relation == "eq" { more.relation } else { sum.relation },
+                },
+            });
+        }
+        merged.max_score = match (merged.max_score, found.max_score) {
+            (Some(a), Some(b)) => Some(a.max(b)),
+            (a, b) => a.or(b),
+        };
+        all.extend(found.hits);
+    }
+    // Stable: hits that are equal stay in the order of shards.
+    all.sort_by(|(one, _), (other, _)| order.compare(one, other));
+    merged.hits = all.into_iter().skip(from).take(size).map(|(_, raw)| raw).collect();
+    Ok(merged)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn answer(total: u64, relation: &str, hits: Value) -> Vec<u8> {
+        json!({"timed_out": false, "_shards": {"successful": 1, "failed": 0},
+            "hits": {"total": {"value": total, "relation": relation}, "max_score": null, "hits": hits}})
+        .to_string()
+        .into_bytes()
+    }
+
+    #[test]
+    fn hits_are_merged_by_score_and_cut_to_the_page() {
+        let a = answer(3, "eq", json!([{"_id": "a", "_score": 3.0}, {"_id": "b", "_score": 1.0}]));
+        let b = answer(4, "gte", json!([{"_id": "c", "_score": 2.0}]));
+        let merged = merge([&a[..], &b[..]].into_iter(), &Order::default(), 1, 1).unwrap();
+        assert_eq!(merged.total, Some(Total { value: 7, relation: "gte".into() }));
+        let ids: Vec<&str> = merged.hits.iter().map(|raw| raw.get()).collect();
+        assert_eq!(ids, [r#"{"_id":"c","_score":2.0}"#]);
+    }
+
+    #[test]
+    fn sort_keys_decide_with_missing_values_last() {
+        let order = Order::read(&json!([{"run": {"order": "desc"}}, "name"])).unwrap();
+        let a = answer(2, "eq", json!([{"_id": "a", "sort": [1, "x"]}, {"_id": "n", "sort": [null, "x"]}]));
+        let b = answer(2, "eq", json!([{"_id": "b", "sort": [2, "y"]}, {"_id": "c", "sort": [2, "x"]}]));
+        let merged = merge([&a[..], &b[..]].into_iter(), &order, 0, 10).unwrap();
+        let ids: Vec<String> = merged
+            .hits
+            .iter()
+            .map(|raw| serde_json::from_str::<Value>(raw.get()).unwrap()["_id"].as_str().unwrap().into())
+            .collect();
+        assert_eq!(ids, ["c", "b", "a", "n"]);
+        assert_eq!(Order::read(&json!([{"run": "sideways"}])), None);
+    }
+}
--- /dev/null
+++ b/src/front/opensearch/mod.rs
@@ -0,0 +1,186 @@
+//! The OpenSearch-style front: `POST /{index}/_search`, where an index is a class.
+//!
+//! Answers carry `took`, `timed_out`, `_shards` and `hits`; errors carry `error.type`, `reason`, `root_cause` and
+//! `status`. What is not spoken is refused by name.
+
+pub mod merge;
+pub mod search;
+pub mod target;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::core::drive::Driver;
+use crate::core::{Ask, AskPart, NotTaken, Verdict};
+use crate::http::parse::{Bad, Message};
+use crate::http::server::{Handler, Local};
+use crate::http::write::Response;
+use crate::transport::opensearch::carry;
+use search::{Refusal, Search};
+
+/// The longest opaque id or tenant that is taken in.
+const MOST_NAME: usize = 128;
+/// Advice to a connection too many.
+const FULL_WAIT: f64 = 500.0;
+
+/// The front.
+pub struct OpenSearch {
+    driver: Rc<Driver>,
+    shards: u32,
+    last: Cell<u64>,
+}
+
+impl OpenSearch {
+    /// A front before a driver, over so many shards.
+    pub fn new(driver: Rc<Driver>, shards: u32) -> Self {
+        OpenSearch { driver, shards, last: Cell::new(0) }
+    }
+
+    fn refuse(&self, Refusal(status, kind, why): Refusal) -> Response {
+        self.driver.count(|counters| counters.malformed += 1);
+        error(status, kind, &why)
+    }
+
+    fn ask(&self, search: &Search, request: &Message) -> Result<Ask, Refusal> {
+        let shards = search.shards.clone().unwrap_or_else(|| (0..self.shards).collect());
+        let weight = 1.0 / shards.len().max(1) as f64;
+        self.last.set(self.last.get() + 1);
+        let tenant = request.headers.get("x-tenant-id");
+        for (name, text) in [("X-Opaque-Id", request.headers.get("x-opaque-id")), ("X-Tenant-Id", tenant)] {
+            let sound = |text: &str| text.len() <= MOST_NAME && text.bytes().all(|b| b.is_ascii_graphic());
+            if !text.is_none_or(sound) {
+                let why = format!("{name} must be at most {MOST_NAME} visible characters");
+                return Err(Refusal(400, "illegal_argument_exception", why));
+            }
+        }
+        Ok(Ask {
+            id: request
+                .headers
+                .get("x-opaque-id")
+                .map_or_else(|| format!("s{}", self.last.get()), str::to_string),
+            class: search.index.clone(),
+            tenant: tenant.map(str::to_string),
+            timeout: search.timeout,
+            retried: false,
+            partial: search.partial,
+            parts: shards.into_iter().map(|shard| AskPart { shard, weight, hint: None, key: None }).collect(),
+            // One shard's part of a page may be all of it: each is asked for what comes before the page too.
+            text: carry(search.from + search.size, &request.body).into(),
+        })
+    }
+}
+
+impl Handler for OpenSearch {
+    fn handle(&self, request: Message) -> Local<Response> {
+        let opaque = request.headers.get("x-opaque-id").map(str::to_string);
+        let response = match (request.start.0.as_str(), request.start.1.as_str()) {
+            ("GET", "/healthz") => Response::text(200, "ready"),
+            ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
+            ("GET" | "POST", _) => {
+                let read = Search::read(&request, self.shards);
+                let asked = read.and_then(|search| self.ask(&search, &request).map(|ask| (search, ask)));
+                match asked.map(|(search, ask)| (search, self.driver.ask(ask))) {
+                    Ok((search, Ok(pending))) => {
+                        let since = Instant::now();
+                        let shards = search.shards.clone().unwrap_or_else(|| (0..self.shards).collect());
+                        return Box::pin(async move {
+                            let verdict = pending.verdict().await;
+                            let took = since.elapsed().as_millis() as u64;
+                            echo(render(&verdict, &search, &shards, took), opaque)
+                        });
+                    }
+                    Ok((search, Err(NotTaken::UnknownClass))) => self.refuse(Refusal(
+                        404,
+                        "index_not_found_exception",
+                        format!("no such index [{}]", search.index),
+                    )),
+                    Ok((_, Err(NotTaken::Malformed(why)))) => {
+                        self.refuse(Refusal(400, "illegal_argument_exception", why))
+                    }
+                    Err(refusal) => self.refuse(refusal),
+                }
+            }
+            (method, _) => self
+                .refuse(Refusal(
+                    405,
+                    "illegal_argument_exception",
+                    format!("method [{method}] is not allowed; spoken are GET and POST"),
+                ))
+                .with("Allow", "GET, POST"),
+        };
+        Box::pin(async move { echo(response, opaque) })
+    }
+
+    fn bad(&self, bad: Bad) -> Response {
+        self.refuse(Refusal(bad.status(), "parsing_exception", bad.to_string()))
+    }
+
+    fn full(&self) -> Response {
+        back_off(error(503, "rejected_execution_exception", "too many connections"), FULL_WAIT)
+    }
+}
+
+fn echo(response: Response, opaque: Option<String>) -> Response {
+    match opaque {
+        Some(id) => response.with("X-Opaque-Id", id),
+        None => response,
+    }
+}
+
+/// Advice in whole seconds, as this API's clients read it.
+fn back_off(response: Response, millis: f64) -> Response {
+    response.retry_after((millis / 1000.0).ceil() * 1000.0)
+}
+
+fn error(status: u16, kind: &str, why: &str) -> Response {
+    let cause = json!({"type": kind, "reason": why});
+    let body = json!({"error": {"root_cause": [cause], "type": kind, "reason": why}, "status": status});
+    Response::new(status, "application/json; charset=UTF-8", body.to_string())
+}
+
+fn render(verdict: &Verdict, search: &Search, shards: &[u32], took: u64) -> Response {
+    let (whole, pieces) = match verdict {
+        Verdict::Served { whole, pieces, .. } => (*whole, pieces),
+        Verdict::Refused { retry_after } => {
+            let why = "the aggregator has no room for this search; nothing of it has run";
+            return back_off(error(429, "rejected_execution_exception", why), *retry_after);
+        }
+        Verdict::Failed { retry_after } => {
+            let why = "too few shards answered in time";
+            return back_off(error(500, "search_phase_execution_exception", why), *retry_after);
+        }
+    };
+    let answers = pieces.iter().map(|piece| &piece.value[..]);
+    let merged = match merge::merge(answers, &search.order, search.from, search.size) {
+        Ok(merged) => merged,
+        Err(why) => return error(500, "search_phase_execution_exception", &why),
+    };
+    let missing = shards.iter().filter(|shard| pieces.iter().all(|piece| piece.shard != **shard));
+    let failures: Vec<_> = missing
+        .map(|shard| {
+            let reason =
+                json!({"type": "timeout_exception", "reason": "its answer was not waited for any longer"});
+            json!({"shard": shard, "index": search.index, "reason": reason})
+        })
+        .collect();
+    let mut counts = json!({
+        "total": shards.len(), "successful": pieces.len(), "skipped": 0, "failed": failures.len(),
+    });
+    if !failures.is_empty() {
+        counts["failures"] = failures.into();
+    }
+    #[derive(serde::Serialize)]
+    struct Answer {
+        took: u64,
+        timed_out: bool,
+        _shards: serde_json::Value,
+        hits: merge::Merged,
+    }
+    match serde_json::to_vec(&Answer { took, timed_out: !whole, _shards: counts, hits: merged }) {
+        Ok(body) => Response::new(200, "application/json; charset=UTF-8", body),
+        Err(why) => error(500, "search_phase_execution_exception", &why.to_string()),
+    }
+}
--- /dev/null
+++ b/src/front/opensearch/search.rs
@@ -0,0 +1,170 @@
+//! A search request, read into the few values that the aggregator uses.
+//!
+//! What cannot be kept over shards asked one by one is refused by name instead of being answered wrongly.
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+use super::merge::Order;
+use super::target::{routed, time, Target};
+use crate::api::Millis;
+use crate::http::parse::Message;
+
+/// As many hits as a search asks for by itself, and the most that it may ask for.
+const USUAL_SIZE: usize = 10;
+const MOST_HITS: usize = 10_000;
+/// Keys of a body that every shard can follow by itself.
+const PASSED_ON: &[&str] = &[
+    "query",
+    "_source",
+    "track_total_hits",
+    "track_scores",
+    "stored_fields",
+    "docvalue_fields",
+    "fields",
+    "min_score",
+    "search_after",
+    "explain",
+    "version",
+    "seq_no_primary_term",
+    "highlight",
+    "post_filter",
+];
+
+/// A search.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Search {
+    /// The index, which names the class.
+    pub index: String,
+    /// The shards it asks, if it names any.
+    pub shards: Option<Vec<u32>>,
+    /// How long its client waits.
+    pub timeout: Option<Millis>,
+    /// Whether some shards are enough.
+    pub partial: bool,
+    /// The first hit, of all in order.
+    pub from: usize,
+    /// How many hits.
+    pub size: usize,
+    /// The order of hits.
+    pub order: Order,
+}
+
+/// A request that is not spoken: status, type and reason.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal(pub u16, pub &'static str, pub String);
+
+fn illegal(why: impl Into<String>) -> Refusal {
+    Refusal(400, "illegal_argument_exception", why.into())
+}
+
+#[derive(Deserialize)]
+struct Body<'a> {
+    size: Option<usize>,
+    from: Option<usize>,
+    timeout: Option<String>,
+    sort: Option<Value>,
+    #[serde(flatten, borrow)]
+    others: BTreeMap<&'a str, &'a RawValue>,
+}
+
+impl Search {
+    /// Reads a search from its request; `shards` is how many there are.
+    ///
+    /// # Errors
+    /// Says what is malformed or not spoken.
+    pub fn read(request: &Message, shards: u32) -> Result<Self, Refusal> {
+        let target = Target::read(&request.start.1).ok_or_else(|| illegal("the target is malformed"))?;
+        let index = match target.path.as_slice() {
+            [index, verb] if verb == "_search" => index.clone(),
+            _ => {
+                let why =
+                    format!("no handler found for uri [{}]; spoken is /{{index}}/_search", request.start.1);
+                return Err(Refusal(404, "illegal_argument_exception", why));
+            }
+        };
+        if index.contains([',', '*']) || index.starts_with('_') {
+            return Err(illegal("a search names one index; lists and patterns are not spoken"));
+        }
+        let mut search = Search {
+            index,
+            shards: None,
+            timeout: None,
+            partial: true,
+            from: 0,
+            size: USUAL_SIZE,
+            order: Order::default(),
+        };
+        search.body(&request.body)?;
+        for (name, value) in &target.parameters {
+            search.parameter(name, value, shards)?;
+        }
+        if search.from.saturating_add(search.size) > MOST_HITS {
+            return Err(illegal(format!("from + size must be at most {MOST_HITS}")));
+        }
+        Ok(search)
+    }
+
+    fn body(&mut self, bytes: &[u8]) -> Result<(), Refusal> {
+        if bytes.iter().all(u8::is_ascii_whitespace) {
+            return Ok(());
+        }
+        let parsing = |why: String| Refusal(400, "parsing_exception", why);
+        let body: Body = serde_json::from_slice(bytes).map_err(|error| parsing(error.to_string()))?;
+        if let Some(key) = body.others.keys().find(|key| !PASSED_ON.contains(key)) {
+            return Err(parsing(format!("key [{key}] is not spoken over shards asked one by one")));
+        }
+        self.size = body.size.unwrap_or(self.size);
+        self.from = body.from.unwrap_or(self.from);
+        if let Some(text) = body.timeout {
+            self.timeout = Some(time(&text).ok_or_else(|| illegal("[timeout] needs a number and a unit"))?);
+        }
+        if let Some(sort) = body.sort {
+            self.order = Order::read(&sort).ok_or_else(|| parsing("[sort] is malformed".into()))?;
+        }
+        Ok(())
+    }
+
+    fn parameter(&mut self, name: &str, value: &str, shards: u32) -> Result<(), Refusal> {
+        let number = || value.parse().map_err(|_| illegal(format!("[{name}] must be a whole number")));
+        match name {
+            "size" => self.size = number()?,
+            "from" => self.from = number()?,
+            "timeout" => {
+                self.timeout =
+                    Some(time(value).ok_or_else(|| illegal("[timeout] needs a number and a unit"))?);
+            }
+            "allow_partial_search_results" => {
+                self.partial =
+                    value.parse().map_err(|_| illegal(format!("[{name}] must be true or false")))?;
+            }
+            "routing" => self.narrow(value.split(',').map(|routing| routed(routing, shards))),
+            "preference" => {
+                let list = value.strip_prefix("_shards:");
+                let list = list.ok_or_else(|| illegal("the only [preference] spoken is _shards:N,N"))?;
+                let list: Vec<u32> = list
+                    .split(',')
+                    .map(|shard| shard.parse().ok().filter(|shard| *shard < shards))
+                    .collect::<Option<_>>()
+                    .ok_or_else(|| illegal(format!("[preference] names shards 0 to {}", shards - 1)))?;
+                self.narrow(list.into_iter());
+            }
+            "pretty" | "human" => {}
+            _ => return Err(illegal(format!("parameter [{name}] is not spoken"))),
+        }
+        Ok(())
+    }
+
+    /// Routing and preference both narrow the shards: those that all of them name remain.
+    fn narrow(&mut self, to: impl Iterator<Item = u32>) {
+        let mut to: Vec<u32> = to.collect();
+        to.sort_unstable();
+        to.dedup();
+        if let Some(known) = &self.shards {
+            to.retain(|shard| known.contains(shard));
+        }
+        self.shards = Some(to);
+    }
+}
--- /dev/null
+++ b/src/front/opensearch/target.rs
@@ -0,0 +1,112 @@
+//! Request targets: path and query string, percent-decoded; time units; and which shards a routing names.
+
+use crate::api::Millis;
+
+/// The path's parts and the parameters of a request target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// The parts of the path between slashes.
+    pub path: Vec<String>,
+    /// The parameters, in their order.
+    pub parameters: Vec<(String, String)>,
+}
+
+impl Target {
+    /// Reads a target; `None` if an escape in it is malformed.
+    pub fn read(target: &str) -> Option<Self> {
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let path = path.split('/').filter(|part| !part.is_empty()).map(|part| decode(part, false));
+        let parameters = query.split('&').filter(|pair| !pair.is_empty()).map(|pair| {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            Some((decode(name, true)?, decode(value, true)?))
+        });
+        Some(Target { path: path.collect::<Option<_>>()?, parameters: parameters.collect::<Option<_>>()? })
+    }
+}
+
+fn decode(text: &str, plus: bool) -> Option<String> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        bytes.push(match byte {
+            b'%' => {
+                let digit = |byte: u8| (byte as char).to_digit(16);
+                let (high, low) = (digit(rest.next()?)?, digit(rest.next()?)?);
+                (high * 16 + low) as u8
+            }
+            b'+' if plus => b' ',
+            byte => byte,
+        });
+    }
+    String::from_utf8(bytes).ok()
+}
+
+/// A time with its unit, as in `500ms` or `2s`.
+pub fn time(text: &str) -> Option<Millis> {
+    let cut = text.find(|c: char| c.is_ascii_alphabetic())?;
+    let scale = match &text[cut..] {
+        "nanos" => 1e-6,
+        "micros" => 1e-3,
+        "ms" => 1.0,
+        "s" => 1e3,
+        "m" => 60e3,
+        "h" => 3_600e3,
+        "d" => 86_400e3,
+        _ => return None,
+    };
+    let number = text[..cut].parse::<f64>().ok().filter(|number| number.is_finite() && *number >= 0.0)?;
+    Some(number * scale)
+}
+
+/// The shard that a routing value leads to: Murmur3 over its UTF-16 code units, modulo the number of shards.
+pub fn routed(routing: &str, shards: u32) -> u32 {
+    let bytes: Vec<u8> = routing.encode_utf16().flat_map(u16::to_le_bytes).collect();
+    (murmur3(&bytes) as i32).rem_euclid(shards.max(1) as i32) as u32
+}
+
+fn murmur3(bytes: &[u8]) -> u32 {
+    let scramble = |k: u32| k.wrapping_mul(0xcc9e_2d51).rotate_left(15).wrapping_mul(0x1b87_3593);
+    let mut hash = 0u32;
+    let mut blocks = bytes.chunks_exact(4);
+    for block in &mut blocks {
+        let k = u32::from_le_bytes([block[0], block[1], block[2], block[3]]);
+        hash = (hash ^ scramble(k)).rotate_left(13).wrapping_mul(5).wrapping_add(0xe654_6b64);
+    }
+    let tail = blocks.remainder().iter().rev().fold(0u32, |k, byte| (k << 8) | u32::from(*byte));
+    hash ^= scramble(tail);
+    hash ^= bytes.len() as u32;
+    hash = (hash ^ (hash >> 16)).wrapping_mul(0x85eb_ca6b);
+    hash = (hash ^ (hash >> 13)).wrapping_mul(0xc2b2_ae35);
+    hash ^ (hash >> 16)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn targets_are_decoded() {
+        let target = Target::read("/run-search/_search?preference=_shards%3A1%2C2&x=a+b").unwrap();
+        assert_eq!(target.path, ["run-search", "_search"]);
+        assert_eq!(target.parameters[0], ("preference".into(), "_shards:1,2".into()));
+        assert_eq!(target.parameters[1].1, "a b");
+        assert_eq!(Target::read("/a%2"), None);
+        assert_eq!(Target::read("/a%ff"), None);
+    }
+
+    #[test]
+    fn times_need_a_unit() {
+        assert_eq!(time("250ms"), Some(250.0));
+        assert_eq!(time("1.5s"), Some(1500.0));
+        assert_eq!(time("250"), None);
+        assert_eq!(time("-1s"), None);
+        assert_eq!(time("1y"), None);
+    }
+
+    #[test]
+    fn murmur3_gives_the_published_values() {
+        assert_eq!(murmur3(b""), 0);
+        assert_eq!(murmur3(b"test"), 0xba6b_d213);
+        assert_eq!(murmur3(b"Hello, world!"), 0xc036_3e43);
+    }
+}
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -61,9 +61,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A listening server.
-pub struct Server<H> {
+pub struct Server {
     executor: Rc<LocalExecutor<'static>>,
-    handler: H,
+    handler: Box<dyn Handler>,
     limits: Limits,
     open: Cell<usize>,
     last: Cell<u64>,
@@ -72,9 +72,9 @@
     idle: RefCell<BTreeMap<u64, Sender<Reason>>>,
 }
 
-impl<H: Handler + 'static> Server<H> {
+impl Server {
     /// A server that answers by a handler.
-    pub fn new(executor: Rc<LocalExecutor<'static>>, handler: H, limits: Limits) -> Rc<Self> {
+    pub fn new(executor: Rc<LocalExecutor<'static>>, handler: Box<dyn Handler>, limits: Limits) -> Rc<Self> {
         Rc::new(Server {
             executor,
             handler,
@@ -152,8 +152,8 @@
     }
 }
 
-struct Connection<'s, H> {
-    server: &'s Server<H>,
+struct Connection<'s> {
+    server: &'s Server,
     stream: TcpStream,
     requests: u64,
 }
@@ -165,7 +165,7 @@
     End(Reason),
 }
 
-impl<H: Handler + 'static> Connection<'_, H> {
+impl Connection<'_> {
     async fn serve(&mut self) -> io::Result<Reason> {
         self.stream.set_nodelay(true)?;
         let mut parser = Parser::new(Kind::Request);
--- a/src/service.rs
+++ b/src/service.rs
@@ -10,14 +10,17 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
 
-use crate::config::Config;
-use crate::core::drive::Driver;
+use crate::config::{Api, Config};
+use crate::core::drive::{Driver, RunStores};
 use crate::core::{Core, News};
 use crate::directory::watch::Watch;
+use crate::front::opensearch::OpenSearch;
 use crate::front::platform::Platform;
-use crate::http::server::{Limits, Server};
+use crate::http::server::{Handler, Limits, Server};
 use crate::log::{self, Reason};
-use crate::transport::frames::{self, Frames};
+use crate::transport::frames::Frames;
+use crate::transport::opensearch::Searches;
+use crate::transport::{self, span};
 
 /// After SIGTERM, new connections still come for a while, and clients go on using those they have.
 const KEEP_IDLE: Duration = Duration::from_millis(500);
@@ -40,14 +43,17 @@
     let core = Core::new(&config.settings, config.seed()).map_err(|why| format!("key settings: {why}"))?;
     let driver = Driver::new(core, executor.clone());
     let caps = &config.settings.caps;
-    let limits = frames::Limits {
-        connect: frames::span(caps.connect_timeout_ms.unwrap_or(250.0)),
-        keep_alive: frames::span(caps.keepalive_ms.unwrap_or(30_000.0)),
+    let limits = transport::Limits {
+        connect: span(caps.connect_timeout_ms.unwrap_or(250.0)),
+        keep_alive: span(caps.keepalive_ms.unwrap_or(30_000.0)),
         streams: caps.streams_per_conn.unwrap_or(100).max(1) as usize,
         bundle: config.settings.domain.bundle_max.unwrap_or(1) as usize,
         connections: config.store_connections(),
     };
-    let stores = Rc::new(Frames::new(driver.clone(), limits));
+    let stores: Rc<dyn RunStores> = match config.api {
+        Api::Platform => Rc::new(Frames::new(driver.clone(), limits)),
+        Api::Opensearch => Rc::new(Searches::new(driver.clone(), limits)),
+    };
     let known = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
     let watch = Rc::new(Watch::new(driver.clone(), config.discovery, known));
     driver.connect(stores, watch);
@@ -59,7 +65,13 @@
         .map_err(|error| format!("key listen: {}: {error}", config.listen))?;
     let at: SocketAddr = listener.local_addr().map_err(|error| error.to_string())?;
     let limits = Limits::for_connections(config.client_connections());
-    let server = Server::new(executor.clone(), Platform::new(driver.clone()), limits);
+    let front: Box<dyn Handler> = match config.api {
+        Api::Platform => Box::new(Platform::new(driver.clone())),
+        Api::Opensearch => {
+            Box::new(OpenSearch::new(driver.clone(), config.settings.domain.shards.unwrap_or(1)))
+        }
+    };
+    let server = Server::new(executor.clone(), front, limits);
     let accepting = executor.spawn(server.clone().accept(listener));
     log::line(&format!("{} listens on {at}", config.name));
 
@@ -85,7 +97,7 @@
         }
     };
     future::or(drained, async {
-        Timer::after(frames::span(config.longest_deadline()) + LAST_WAIT).await;
+        Timer::after(span(config.longest_deadline()) + LAST_WAIT).await;
     })
     .await;
     log::line(&format!("counters {}", driver.counters()));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -80,6 +80,8 @@
     pub cells: u32,
     pub width: u32,
     #[serde(default)]
+    pub shards: Option<u32>,
+    #[serde(default)]
     pub bundle_max: Option<u32>,
     #[serde(default)]
     pub overhead_ms: f64,
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -19,33 +19,14 @@
 use crate::core::drive::{Driver, RunStores};
 use crate::core::{Call, CallEnd, CallNo};
 use crate::log::{self, Reason};
+use crate::transport::{At, Limits};
 use link::{Ended, Link};
 
 /// The longest a frame may take to be written. A run store that reads nothing for so long is no use.
 const WRITE_LIMIT: Duration = Duration::from_secs(2);
-/// The share of the idle time after which the run store closes that a connection is kept here: to close
-/// first is to never write to one that is being closed.
-const IDLE_SHARE: f64 = 0.8;
-
-/// What the transport keeps to.
-#[derive(Debug, Clone, Copy)]
-pub struct Limits {
-    /// How long a connection may take to come up.
-    pub connect: Duration,
-    /// After this time idle, run stores close connections.
-    pub keep_alive: Duration,
-    /// Calls on one connection at once.
-    pub streams: usize,
-    /// Parts in one frame.
-    pub bundle: usize,
-    /// Connections in all.
-    pub connections: usize,
-}
-
 #[derive(Default)]
 struct Place {
-    /// Where it listens, and since when its process runs.
-    at: Option<(SocketAddr, Option<Millis>)>,
+    at: Option<At>,
     retired: bool,
     connections: Vec<Rc<Connection>>,
 }
@@ -204,7 +185,7 @@
             };
             let rested = async {
                 if idle {
-                    Timer::after(self.limits.keep_alive.mul_f64(IDLE_SHARE)).await;
+                    Timer::after(self.limits.idle()).await;
                     true
                 } else {
                     future::pending().await
@@ -302,8 +283,3 @@
         (place.at, place.retired) = (at, false);
     }
 }
-
-/// A span of the settings as a duration.
-pub fn span(millis: Millis) -> Duration {
-    Duration::from_secs_f64(millis.clamp(0.0, 1e9) / 1000.0)
-}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,3 +1,42 @@
 //! Transports to run stores: connections, pooled, and what travels on them.
 
 pub mod frames;
+pub mod opensearch;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::api::Millis;
+
+/// What transports keep to.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// How long a connection may take to come up.
+    pub connect: Duration,
+    /// After this time idle, run stores close connections.
+    pub keep_alive: Duration,
+    /// Calls on one connection at once, where a wire can carry several.
+    pub streams: usize,
+    /// Parts in one call, where a wire can carry several.
+    pub bundle: usize,
+    /// Connections in all.
+    pub connections: usize,
+}
+
+/// Where a run store listens, and since when its process runs.
+type At = (SocketAddr, Option<Millis>);
+
+/// The share of the idle time after which run stores close that a connection is kept here: to close first is
+/// to never write to one that is being closed.
+const IDLE_SHARE: f64 = 0.8;
+
+impl Limits {
+    fn idle(&self) -> Duration {
+        self.keep_alive.mul_f64(IDLE_SHARE)
+    }
+}
+
+/// A span of the settings as a duration.
+pub fn span(millis: Millis) -> Duration {
+    Duration::from_secs_f64(millis.clamp(0.0, 1e9) / 1000.0)
+}
--- /dev/null
+++ b/src/transport/opensearch/mod.rs
@@ -0,0 +1,342 @@
+//! Run stores that speak the OpenSearch-style API: one search of one shard at a time on each connection.
+//!
+//! A search is given up by closing its connection, as this API's clients do.
+
+pub mod answer;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+
+use crate::api::{Millis, Outcome, ReplicaId};
+use crate::core::drive::{Driver, RunStores};
+use crate::core::{Call, CallEnd, CallNo};
+use crate::http::client::Client;
+use crate::http::parse::Message;
+use crate::http::write;
+use crate::log::{self, Reason};
+use crate::transport::{At, Limits};
+use answer::Found;
+
+/// Connections to one run store at once; more searches wait for one of these.
+const MOST_AT_ONE: usize = 32;
+const MOST_ANSWER: usize = 4 * 1024 * 1024;
+
+/// What a part of a search carries: how many hits each shard is asked for, and the client's body, unchanged.
+pub fn carry(hits: usize, body: &[u8]) -> Vec<u8> {
+    let mut text = format!("{hits}\n").into_bytes();
+    text.extend_from_slice(body);
+    text
+}
+
+enum Job {
+    Search(Call),
+    Probe(CallNo),
+}
+
+impl Job {
+    fn no(&self) -> CallNo {
+        match self {
+            Job::Search(call) => call.no,
+            Job::Probe(no) => *no,
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Connecting,
+    Idle,
+    /// It has this job, whose request is not wholly written.
+    Begun(CallNo),
+    /// It has this job, whose request is wholly written.
+    Written(CallNo),
+}
+
+struct Worker {
+    stage: Cell<Stage>,
+    jobs: (Sender<Job>, Receiver<Job>),
+    kill: (Sender<Reason>, Receiver<Reason>),
+}
+
+#[derive(Default)]
+struct Place {
+    at: Option<At>,
+    retired: bool,
+    queue: VecDeque<Job>,
+    workers: Vec<Rc<Worker>>,
+}
+
+/// The transport.
+pub struct Searches {
+    driver: Rc<Driver>,
+    limits: Limits,
+    places: RefCell<BTreeMap<ReplicaId, Place>>,
+    open: Cell<usize>,
+}
+
+impl Searches {
+    /// A transport that reports to a driver.
+    pub fn new(driver: Rc<Driver>, limits: Limits) -> Rc<Self> {
+        Rc::new(Searches { driver, limits, places: RefCell::default(), open: Cell::new(0) })
+    }
+
+    fn queue(self: &Rc<Self>, replica: &ReplicaId, job: Job) {
+        let refused = match self.places.borrow_mut().get_mut(replica) {
+            Some(place) if !place.retired && place.at.is_some() => {
+                place.queue.push_back(job);
+                None
+            }
+            _ => Some(job),
+        };
+        match refused {
+            Some(job) => self.end(&job, Outcome::NotSent),
+            None => self.pump(replica),
+        }
+    }
+
+    /// Hands what is queued to connections that stand idle, and opens one more where none does.
+    ///
+    /// One at a time comes up: a run store that has just started is not met by a storm of connections.
+    fn pump(self: &Rc<Self>, replica: &ReplicaId) {
+        let mut places = self.places.borrow_mut();
+        let Some(place) = places.get_mut(replica) else { return };
+        while !place.queue.is_empty() {
+            let stage = |stage: Stage| place.workers.iter().find(move |worker| worker.stage.get() == stage);
+            if let Some(worker) = stage(Stage::Idle) {
+                let Some(job) = place.queue.pop_front() else { return };
+                worker.stage.set(Stage::Begun(job.no()));
+                let _ = worker.jobs.0.try_send(job);
+                continue;
+            }
+            let Some((address, _)) = place.at.filter(|_| stage(Stage::Connecting).is_none()) else { return };
+            if place.workers.len() >= MOST_AT_ONE {
+                return;
+            }
+            if self.open.get() >= self.limits.connections {
+                // With no connection at all, nobody would ever come for the queue.
+                if place.workers.is_empty() {
+                    let refused = std::mem::take(&mut place.queue);
+                    drop(places);
+                    refused.iter().for_each(|job| self.end(job, Outcome::ConnectFailed));
+                }
+                return;
+            }
+            let worker = Rc::new(Worker {
+                stage: Cell::new(Stage::Connecting),
+                jobs: async_channel::bounded(1),
+                kill: async_channel::bounded(1),
+            });
+            place.workers.push(worker.clone());
+            self.open.set(self.open.get() + 1);
+            self.driver.executor().spawn(self.clone().keep(replica.clone(), address, worker)).detach();
+            return;
+        }
+    }
+
+    /// The life of a connection, from before it is up to its line in the log.
+    async fn keep(self: Rc<Self>, replica: ReplicaId, address: SocketAddr, worker: Rc<Worker>) {
+        let kill = async { worker.kill.1.recv().await.unwrap_or(Reason::Retired) };
+        let reason = future::or(kill, self.talk(&replica, address, &worker)).await;
+        let mut lost = Vec::new();
+        if let Some(place) = self.places.borrow_mut().get_mut(&replica) {
+            place.workers.retain(|known| !Rc::ptr_eq(known, &worker));
+            let unborn = worker.stage.get() == Stage::Connecting;
+            if unborn && place.workers.is_empty() {
+                lost.extend(place.queue.drain(..).map(|job| (job.no(), Outcome::ConnectFailed)));
+            }
+        }
+        self.open.set(self.open.get() - 1);
+        match worker.stage.get() {
+            Stage::Begun(no) => lost.push((no, Outcome::ConnectFailed)),
+            Stage::Written(no) => lost.push((no, Outcome::Reset)),
+            Stage::Connecting | Stage::Idle => {}
+        }
+        log::ended(
+            "run_store",
+            Some(address),
+            reason,
+            format_args!("name={} lost={}", replica.0, lost.len()),
+        );
+        for (no, outcome) in lost {
+            // A number is an attempt's or a probe's: the core knows which, and passes over the other.
+            self.driver.call_ended(no, CallEnd::bare(outcome));
+            self.driver.probe_ended(no, false, None);
+        }
+        self.pump(&replica);
+    }
+
+    async fn talk(self: &Rc<Self>, replica: &ReplicaId, address: SocketAddr, worker: &Worker) -> Reason {
+        let mut client = match Client::connect(address, self.limits.connect, MOST_ANSWER).await {
+            Ok(client) => client,
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => return Reason::ConnectTimeout,
+            Err(_) => return Reason::ConnectFailed,
+        };
+        loop {
+            worker.stage.set(Stage::Idle);
+            self.pump(replica);
+            let job = async { worker.jobs.1.recv().await.map_err(|_| Reason::Retired) };
+            let closed = async {
+                client.idle().await;
+                Err(Reason::PeerClosed)
+            };
+            let rested = async {
+                Timer::after(self.limits.idle()).await;
+                Err(Reason::Idle)
+            };
+            let job = match future::or(closed, future::or(job, rested)).await {
+                Ok(job) => job,
+                Err(reason) => return reason,
+            };
+            let answer = self.carry_out(&mut client, &job, address, worker).await;
+            worker.stage.set(match worker.stage.get() {
+                Stage::Written(_) if answer.is_ok() => Stage::Idle,
+                stage => stage,
+            });
+            match answer {
+                Ok(answer) => {
+                    let keep = answer.keep_alive;
+                    self.answered(&job, answer);
+                    if !keep {
+                        return Reason::PeerClosed;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                    // It answered, in a form that is none of HTTP's: an error that may have run.
+                    worker.stage.set(Stage::Idle);
+                    self.end(&job, Outcome::Errored);
+                    return Reason::Malformed;
+                }
+                Err(_) => return Reason::Reset,
+            }
+        }
+    }
+
+    async fn carry_out(
+        &self,
+        client: &mut Client,
+        job: &Job,
+        address: SocketAddr,
+        worker: &Worker,
+    ) -> io::Result<Message> {
+        let host = address.to_string();
+        let request = match job {
+            Job::Probe(_) => write::request("GET", "/", &host, &[], &[]),
+            Job::Search(call) => {
+                let cut = call.text.iter().position(|byte| *byte == b'\n').unwrap_or(0);
+                let hits = String::from_utf8_lossy(&call.text[..cut]);
+                let wait = (call.until - self.driver.now()).max(1.0) as u64;
+                let target = format!(
+                    "/{}/_search?preference=_shards:{}&from=0&size={hits}&timeout={wait}ms\
+                     &allow_partial_search_results=false",
+                    call.class, call.shard
+                );
+                let headers = [("Content-Type", "application/json"), ("X-Opaque-Id", call.query.as_str())];
+                write::request("POST", &target, &host, &headers, &call.text[cut + 1..])
+            }
+        };
+        client.write(&request).await?;
+        worker.stage.set(Stage::Written(job.no()));
+        client.read().await
+    }
+
+    fn answered(&self, job: &Job, answer: Message) {
+        let Job::Search(call) = job else {
+            self.driver.probe_ended(job.no(), answer.start.1 == "200", None);
+            return;
+        };
+        let end = match answer.start.1.as_str() {
+            "200" => match Found::read(&answer.body) {
+                Ok(_) => CallEnd {
+                    outcome: Outcome::Completed,
+                    value: Some(answer.body.as_slice().into()),
+                    load: None,
+                },
+                Err(why) => {
+                    log::line(&format!("search {} shard {}: {why}", call.query, call.shard));
+                    CallEnd::bare(Outcome::Errored)
+                }
+            },
+            // The only status that says that the search was not begun.
+            "429" => CallEnd::bare(Outcome::Rejected),
+            _ => CallEnd::bare(Outcome::Errored),
+        };
+        self.driver.call_ended(call.no, end);
+    }
+
+    fn end(&self, job: &Job, outcome: Outcome) {
+        match job {
+            Job::Search(call) => self.driver.call_ended(call.no, CallEnd::bare(outcome)),
+            Job::Probe(no) => self.driver.probe_ended(*no, false, None),
+        }
+    }
+
+    /// Takes a job back, or closes the connection that has it.
+    fn take_back(&self, replica: &ReplicaId, no: CallNo) {
+        let mut places = self.places.borrow_mut();
+        let Some(place) = places.get_mut(replica) else { return };
+        place.queue.retain(|job| job.no() != no);
+        let has = |worker: &&Rc<Worker>| matches!(worker.stage.get(), Stage::Begun(n) | Stage::Written(n) if n == no);
+        if let Some(worker) = place.workers.iter().find(has) {
+            let _ = worker.kill.0.try_send(Reason::Asked);
+        }
+    }
+
+    fn close(&self, replica: &ReplicaId, reason: Reason, which: impl Fn(Stage) -> bool) {
+        if let Some(place) = self.places.borrow().get(replica) {
+            for worker in place.workers.iter().filter(|worker| which(worker.stage.get())) {
+                let _ = worker.kill.0.try_send(reason);
+            }
+        }
+    }
+}
+
+impl RunStores for Rc<Searches> {
+    fn send(&self, call: Call) {
+        let replica = call.replica.clone();
+        self.queue(&replica, Job::Search(call));
+    }
+
+    fn give_up(&self, replica: &ReplicaId, no: CallNo) {
+        self.take_back(replica, no);
+    }
+
+    fn probe(&self, replica: &ReplicaId, no: CallNo) {
+        self.queue(replica, Job::Probe(no));
+    }
+
+    fn probe_timed_out(&self, replica: &ReplicaId, no: CallNo) {
+        self.take_back(replica, no);
+    }
+
+    fn close_idle(&self, replica: &ReplicaId) {
+        self.close(replica, Reason::Asked, |stage| stage == Stage::Idle);
+    }
+
+    fn retire(&self, replica: &ReplicaId) {
+        let queued = self.places.borrow_mut().get_mut(replica).map(|place| {
+            place.retired = true;
+            std::mem::take(&mut place.queue)
+        });
+        // What is not wholly written has not run, and must not be sent any more.
+        self.close(replica, Reason::Retired, |stage| !matches!(stage, Stage::Written(_)));
+        queued.unwrap_or_default().iter().for_each(|job| self.end(job, Outcome::NotSent));
+    }
+
+    fn locate(&self, replica: &ReplicaId, address: SocketAddr, started: Option<Millis>) {
+        let at = Some((address, started));
+        if self.places.borrow().get(replica).is_some_and(|place| place.at != at) {
+            // Connections to an earlier process of that name are dead, whether they know it or not.
+            self.close(replica, Reason::Retired, |_| true);
+        }
+        let mut places = self.places.borrow_mut();
+        let place = places.entry(replica.clone()).or_default();
+        (place.at, place.retired) = (at, false);
+    }
+}
