--- a/src/front/opensearch/search.rs
+++ b/src/front/opensearch/search.rs
@@ -2,8 +2,8 @@
 //!
 //! What cannot be kept over shards asked one by one is refused by name instead of being answered wrongly.
 
+use serde::de::IgnoredAny;
 use serde::Deserialize;
-use serde_json::value::RawValue;
 use serde_json::Value;
 use std::collections::BTreeMap;
 
@@ -61,13 +61,14 @@
 }
 
 #[derive(Deserialize)]
-struct Body<'a> {
+struct Body {
     size: Option<usize>,
     from: Option<usize>,
     timeout: Option<String>,
     sort: Option<Value>,
-    #[serde(flatten, borrow)]
-    others: BTreeMap<&'a str, &'a RawValue>,
+    /// What is passed on as it is, or refused by name.
+    #[serde(flatten)]
+    others: BTreeMap<String, IgnoredAny>,
 }
 
 impl Search {
@@ -113,7 +114,7 @@
         }
         let parsing = |why: String| Refusal(400, "parsing_exception", why);
         let body: Body = serde_json::from_slice(bytes).map_err(|error| parsing(error.to_string()))?;
-        if let Some(key) = body.others.keys().find(|key| !PASSED_ON.contains(key)) {
+        if let Some(key) = body.others.keys().find(|key| !PASSED_ON.contains(&key.as_str())) {
             return Err(parsing(format!("key [{key}] is not spoken over shards asked one by one")));
         }
         self.size = body.size.unwrap_or(self.size);
--- /dev/null
+++ b/tests/sockets/aggregator.rs
@@ -0,0 +1,197 @@
+//! The real program, started on loopback for a test, and clients of it.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{mpsc, Arc};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use crate::stand_in::{self, read_http, Board, Wire};
+
+/// An aggregator with its stand-ins. Every shard is held by every run store.
+pub struct Aggregator {
+    pub wire: Wire,
+    pub board: Arc<Board>,
+    pub address: SocketAddr,
+    pub stores: Vec<SocketAddr>,
+    child: Child,
+    log: mpsc::Receiver<String>,
+    config: PathBuf,
+}
+
+/// A final answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|error| panic!("{error}: {}", self.body))
+    }
+
+    /// Whether it is served whole.
+    pub fn whole(&self) -> bool {
+        let json = self.json();
+        self.status == 200 && (json["entire"] == json!(true) || json["timed_out"] == json!(false))
+    }
+
+    pub fn refused(&self) -> bool {
+        matches!(self.status, 429 | 503)
+    }
+}
+
+pub fn line(name: usize, address: SocketAddr, status: &str, since: u64) -> Value {
+    json!({"name": format!("s-{name}"), "address": address.to_string(), "zone": "z", "type": "k",
+        "group": name, "status": status, "weight": 1.0, "since_ms": since})
+}
+
+fn settings(stores: usize, max_open: usize) -> Value {
+    let class = |name: &str, repeat: &str| {
+        json!({"name": name, "aim_ms": 2000.0, "deadline_ms": 10000.0,
+        "group": "all", "late_worth": 0.1, "repeat": repeat, "value": 1.0, "window_ms": 5000.0})
+    };
+    json!({"balancers": 1, "discovery": "subscribe", "tick_ms": 5.0, "zone": "z",
+        "caps": {"connect_timeout_ms": 250.0, "keepalive_ms": 30000.0, "max_attempts": 3,
+            "max_open": max_open, "max_retry_after_ms": 2000.0, "may_cancel": true, "probes": true,
+            "streams_per_conn": 100},
+        "domain": {"cells": stores, "width": stores, "shards": 4, "bundle_max": 1,
+            "complete_from": [1.0, 1.0, 1.0], "least_share": [0.4, 1.0, 1.0]},
+        "request_classes": [class("run-search", "read_like"), class("run-lookup", "read_like"),
+            class("shift-entry", "non_idempotent")]})
+}
+
+impl Aggregator {
+    pub fn start(wire: Wire, stores: usize) -> Self {
+        Aggregator::with(wire, stores, 1000)
+    }
+
+    pub fn with(wire: Wire, stores: usize, max_open: usize) -> Self {
+        let board = Arc::new(Board::default());
+        let stores: Vec<_> = (0..stores).map(|store| stand_in::run_store(&board, wire, store)).collect();
+        let lines: Vec<_> = stores.iter().enumerate().map(|(n, at)| line(n, *at, "ready", 0)).collect();
+        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7",
+            "discovery": stand_in::discovery(&board).to_string(),
+            "api": match wire { Wire::Frames => "platform", Wire::OpenSearch => "opensearch" },
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"index": 0, "snapshot": true, "endpoints": lines},
+            "settings": settings(stores.len(), max_open)});
+        Aggregator::spawn(wire, board, stores, &config)
+    }
+
+    fn spawn(wire: Wire, board: Arc<Board>, stores: Vec<SocketAddr>, config: &Value) -> Self {
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("ironpaddle-{}-{number}.json", std::process::id()));
+        std::fs::write(&path, config.to_string()).unwrap();
+        let mut child =
+            Command::new(env!("CARGO_BIN_EXE_ironpaddle")).arg(&path).stderr(Stdio::piped()).spawn().unwrap();
+        let (sender, log) = mpsc::channel();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                // Nobody may be reading any more.
+                let _ = sender.send(line);
+            }
+        });
+        let mut aggregator =
+            Aggregator { wire, board, address: ([127, 0, 0, 1], 0).into(), stores, child, log, config: path };
+        let listening = aggregator.logged(" listens on ");
+        aggregator.address = listening.rsplit(' ').next().unwrap().parse().unwrap();
+        aggregator
+    }
+
+    /// The next line of the log that holds some words.
+    pub fn logged(&self, words: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(Duration::from_secs(30));
+            let line = line.unwrap_or_else(|_| panic!("no line in the log with {words:?}"));
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+        stream
+    }
+
+    /// Writes a query of some shards and leaves its answer unread.
+    pub fn begin(&self, class: &str, shards: &[u32], timeout_ms: u32) -> TcpStream {
+        static ASKED: AtomicUsize = AtomicUsize::new(0);
+        let id = ASKED.fetch_add(1, Ordering::Relaxed);
+        let (target, body) = match self.wire {
+            Wire::Frames => {
+                let mass = 1.0 / shards.len() as f64;
+                let slices: Vec<_> = shards.iter().map(|s| json!({"slice": s, "mass": mass})).collect();
+                (format!("/{class}"), json!({"slices": slices, "filter": "c41e77d0"}))
+            }
+            Wire::OpenSearch => {
+                let list: Vec<_> = shards.iter().map(u32::to_string).collect();
+                let target =
+                    format!("/{class}/_search?preference=_shards:{}&timeout={timeout_ms}ms", list.join(","));
+                (target, json!({"query": {"match_all": {}}}))
+            }
+        };
+        let body = body.to_string();
+        let mut stream = self.connect();
+        let head = format!(
+            "POST {target} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: r{id}\r\nX-Priority-Class: {class}\r\n\
+             X-Timeout: {timeout_ms}m\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        stream
+    }
+
+    pub fn ask(&self, class: &str, shards: &[u32], timeout_ms: u32) -> Answer {
+        answer(&mut self.begin(class, shards, timeout_ms))
+    }
+
+    /// Writes raw bytes and reads the answer; then the connection has to be closed by the aggregator.
+    pub fn raw(&self, bytes: &[u8]) -> Answer {
+        let mut stream = self.connect();
+        stream.write_all(bytes).unwrap();
+        let answer = answer(&mut stream);
+        assert_eq!(stream.read(&mut [0]).unwrap(), 0, "closed after {}", answer.status);
+        answer
+    }
+
+    pub fn counters(&self) -> String {
+        let mut stream = self.connect();
+        stream.write_all(b"GET /counters HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+        answer(&mut stream).body
+    }
+
+    pub fn terminate(&self) {
+        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        assert!(done.success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Aggregator {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+pub fn answer(stream: &mut TcpStream) -> Answer {
+    let (first, head, body) = read_http(stream).unwrap();
+    let status = first.split(' ').nth(1).unwrap().parse().unwrap();
+    Answer { status, head, body: String::from_utf8(body).unwrap() }
+}
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,291 @@
+//! The rules, over both wires, with run stores and discovery that the tests own.
+
+mod aggregator;
+mod stand_in;
+
+use std::io::{Read, Write};
+
+use aggregator::{answer, line, Aggregator};
+use serde_json::json;
+use stand_in::{Act, Wire, WIRES};
+
+#[test]
+fn a_query_is_served_whole_with_the_values_as_given() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        let answer = aggregator.ask("run-lookup", &[0, 3], 8000);
+        assert!(answer.whole(), "{wire:?}: {answer:?}");
+        for value in ["\"v0\"", "\"v3\""] {
+            assert!(answer.body.contains(value), "{wire:?}: {}", answer.body);
+        }
+        let mut parts =
+            aggregator.board.read(|state| state.parts.iter().map(|part| part.1).collect::<Vec<_>>());
+        parts.sort_unstable();
+        assert_eq!(parts, [0, 3], "{wire:?}: each part was sent once");
+    }
+}
+
+#[test]
+fn what_was_turned_away_goes_elsewhere_in_every_class() {
+    for wire in WIRES {
+        for class in ["run-lookup", "shift-entry"] {
+            let aggregator = Aggregator::start(wire, 2);
+            aggregator.board.act(0, Act::TurnAway);
+            for shard in 0..4 {
+                let answer = aggregator.ask(class, &[shard], 8000);
+                assert!(answer.whole(), "{wire:?} {class}: {answer:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn an_unsafe_part_that_may_have_run_is_neither_repeated_nor_refused() {
+    for wire in WIRES {
+        for act in [Act::Error, Act::Break] {
+            let aggregator = Aggregator::start(wire, 2);
+            aggregator.board.act(0, act);
+            aggregator.board.act(1, act);
+            let answer = aggregator.ask("shift-entry", &[1], 8000);
+            assert_eq!(answer.status, 500, "{wire:?} {act:?}: {answer:?}");
+            assert_eq!(aggregator.board.read(|state| state.parts.len()), 1, "{wire:?} {act:?}");
+        }
+    }
+}
+
+#[test]
+fn a_safe_part_that_failed_is_served_by_another_run_store() {
+    for wire in WIRES {
+        for act in [Act::Error, Act::Break] {
+            let aggregator = Aggregator::start(wire, 2);
+            aggregator.board.act(0, act);
+            for shard in 0..4 {
+                let answer = aggregator.ask("run-lookup", &[shard], 8000);
+                assert!(answer.whole(), "{wire:?} {act:?}: {answer:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn silence_ends_in_one_final_answer_and_a_refusal_never_where_an_unsafe_part_may_run() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        aggregator.board.act(0, Act::Silent);
+        aggregator.board.act(1, Act::Silent);
+        let answer = aggregator.ask("shift-entry", &[2], 700);
+        assert_eq!(answer.status, 500, "{wire:?}: {answer:?}");
+        assert_eq!(aggregator.board.read(|state| state.parts.len()), 1, "{wire:?}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_mid_search_has_its_parts_called_back() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Silent);
+        let client = aggregator.begin("run-search", &[0, 1], 8000);
+        aggregator.board.wait("both parts", |state| state.parts.len() == 2);
+        drop(client);
+        aggregator.board.wait("both to be given up", |state| state.given_up.len() == 2);
+        let counters = aggregator.counters();
+        assert!(counters.contains("clients_gone=1 "), "{wire:?}: {counters}");
+        aggregator.board.act(0, Act::Serve);
+        assert!(aggregator.ask("run-lookup", &[0], 8000).whole(), "{wire:?}: the next query is served");
+    }
+}
+
+#[test]
+fn nothing_is_sent_to_a_run_store_that_is_told_to_drain() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        let drained = aggregator.stores[0];
+        aggregator.board.tell(json!([line(0, drained, "draining", 0)]));
+        for shard in 0..4 {
+            assert!(aggregator.ask("run-lookup", &[shard], 8000).whole(), "{wire:?}");
+        }
+        let stores = aggregator.board.read(|state| state.parts.iter().map(|part| part.0).collect::<Vec<_>>());
+        assert_eq!(stores, [1, 1, 1, 1], "{wire:?}");
+        aggregator
+            .board
+            .tell(json!([line(0, drained, "ready", 0), line(1, aggregator.stores[1], "gone", 0)]));
+        assert!(aggregator.ask("run-lookup", &[0], 8000).whole(), "{wire:?}");
+        assert_eq!(aggregator.board.read(|state| state.parts.last().map(|part| part.0)), Some(0), "{wire:?}");
+    }
+}
+
+#[test]
+fn a_burst_meets_a_new_run_store_with_one_connection_coming_up_at_a_time() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        let clients: Vec<_> = (0..20).map(|n| aggregator.begin("run-lookup", &[n % 4], 9000)).collect();
+        for mut client in clients {
+            assert!(answer(&mut client).status < 600);
+        }
+        let made = aggregator.board.read(|state| state.connections[&0]);
+        let most = if wire == Wire::Frames { 1 } else { 20 };
+        assert!(made <= most, "{wire:?}: {made} connections");
+    }
+}
+
+#[test]
+fn at_the_limit_queries_are_refused_at_once_with_advice() {
+    for wire in WIRES {
+        let aggregator = Aggregator::with(wire, 1, 2);
+        aggregator.board.act(0, Act::Silent);
+        let held = aggregator.begin("run-lookup", &[0, 1], 8000);
+        aggregator.board.wait("the first query", |state| state.parts.len() == 2);
+        let answer = aggregator.ask("run-lookup", &[2], 8000);
+        assert!(answer.refused(), "{wire:?}: {answer:?}");
+        assert!(answer.head.contains("\r\nretry-after: "), "{wire:?}: {answer:?}");
+        assert_eq!(aggregator.board.read(|state| state.parts.len()), 2, "{wire:?}: nothing of it was sent");
+        drop(held);
+    }
+}
+
+#[test]
+fn sigterm_answers_what_is_held_and_exits_with_0() {
+    for wire in WIRES {
+        let mut aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Silent);
+        let mut held = aggregator.begin("run-lookup", &[0], 900);
+        aggregator.board.wait("the part", |state| state.parts.len() == 1);
+        aggregator.terminate();
+        aggregator.logged("draining");
+        // It goes on accepting for a while.
+        aggregator.board.act(0, Act::Serve);
+        let late = aggregator.ask("run-lookup", &[1], 8000);
+        assert!(late.whole(), "{wire:?}: {late:?}");
+        assert!(late.head.contains("\r\nconnection: close"), "{wire:?}: {late:?}");
+        assert_ne!(answer(&mut held).status, 0);
+        let counters = aggregator.logged("counters ");
+        assert!(counters.contains("taken=2 "), "{wire:?}: {counters}");
+        assert_eq!(aggregator.wait().code(), Some(0), "{wire:?}");
+    }
+}
+
+#[test]
+fn bad_input_gets_a_4xx_and_lost_framing_ends_the_connection() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        for (bytes, status) in [
+            (&b"nonsense\r\n\r\n"[..], 400),
+            (b"POST /run-lookup HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
+            (b"POST /run-lookup HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            (b"POST /run-lookup HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+            (b"POST /run-lookup HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+            (b"GET / HTTP/2.0\r\n\r\n", 505),
+        ] {
+            assert_eq!(aggregator.raw(bytes).status, status, "{wire:?}: {}", String::from_utf8_lossy(bytes));
+        }
+        let aggregator = Aggregator::start(wire, 1);
+        assert_eq!(aggregator.ask("no-such-class", &[0], 1000).status, 404, "{wire:?}");
+        // A request that is whole and wrong leaves its connection usable.
+        let mut stream = aggregator.connect();
+        let head = "POST /run-lookup/_search HTTP/1.1\r\nX-Request-ID: a\r\nContent-Length: 1\r\n\r\n{";
+        for _ in 0..2 {
+            stream.write_all(head.as_bytes()).unwrap();
+            assert_eq!(answer(&mut stream).status, 400, "{wire:?}");
+        }
+        assert_eq!(aggregator.board.read(|state| state.parts.len()), 0, "{wire:?}");
+    }
+}
+
+/// Answers in forms that no run store should give: none of them is served, and each may have run.
+const UNEXPECTED: [&str; 7] = [
+    "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/html\r\n\r\n<html><body>Bad Gateway</body></html>",
+    "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n\r\n<html>welcome</html>",
+    "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"took\":1,\"timed_out\":fal",
+    "HTTP/1.1 200 OK\r\n\r\n{\"took\":1,\"timed_out\":fal",
+    "HTTP/1.1 200 OK\r\n\r\n{\"timed_out\":\"no\",\"_shards\":[],\"hits\":7}",
+    "HTTP/1.1 200 OK\r\n\r\n{\"took\":1,\"timed_out\":false,\"_shards\":{\"total\":1,\"successful\":0,\"failed\":1},\
+     \"hits\":{\"total\":{\"value\":0,\"relation\":\"eq\"},\"max_score\":null,\"hits\":[]}}",
+    "SMTP ready\r\n\r\n",
+];
+
+#[test]
+fn an_answer_in_an_unexpected_form_is_no_answer() {
+    for form in UNEXPECTED {
+        let aggregator = Aggregator::start(Wire::OpenSearch, 2);
+        aggregator.board.act(0, Act::Raw(form));
+        for shard in 0..2 {
+            let answer = aggregator.ask("run-lookup", &[shard], 8000);
+            assert!(answer.whole(), "{form}: {answer:?}");
+        }
+        aggregator.board.act(1, Act::Raw(form));
+        let before = aggregator.board.read(|state| state.parts.len());
+        let answer = aggregator.ask("shift-entry", &[0], 8000);
+        assert_eq!(answer.status, 500, "{form}: {answer:?}");
+        assert_eq!(answer.json()["error"]["type"], json!("search_phase_execution_exception"));
+        assert_eq!(aggregator.board.read(|state| state.parts.len()), before + 1, "{form}: not repeated");
+    }
+}
+
+#[test]
+fn a_frame_that_cannot_be_read_ends_its_connection_and_may_have_run() {
+    let aggregator = Aggregator::start(Wire::Frames, 1);
+    aggregator.board.act(0, Act::Raw(""));
+    assert_eq!(aggregator.ask("shift-entry", &[0], 8000).status, 500);
+    let line = aggregator.logged("end run_store");
+    assert!(line.contains("code=protocol"), "{line}");
+}
+
+#[test]
+fn opensearch_errors_and_answers_have_their_published_form() {
+    let aggregator = Aggregator::start(Wire::OpenSearch, 1);
+    let answer = aggregator.ask("no-such-index", &[0], 1000).json();
+    assert_eq!(answer["status"], json!(404));
+    assert_eq!(answer["error"]["type"], json!("index_not_found_exception"));
+    assert_eq!(answer["error"]["root_cause"][0]["reason"], json!("no such index [no-such-index]"));
+    for (target, body) in [
+        ("/run-search/_search?scroll=1m", ""),
+        ("/run-search/_search?preference=_local", ""),
+        ("/run-search/_search?preference=_shards:9", ""),
+        ("/run-search,run-lookup/_search", ""),
+        ("/run-search/_search", "{\"aggs\":{}}"),
+        ("/run-search/_search", "{\"size\":20000}"),
+        ("/run-search/_search", "{\"timeout\":\"soon\"}"),
+    ] {
+        let mut stream = aggregator.connect();
+        let head = format!("POST {target} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        stream.write_all(head.as_bytes()).unwrap();
+        assert_eq!(aggregator::answer(&mut stream).status, 400, "{target} {body}");
+    }
+    let mut stream = aggregator.connect();
+    stream.write_all(b"POST /run-search/_search?size=3 HTTP/1.1\r\nX-Opaque-Id: desk-7\r\n\r\n").unwrap();
+    let answer = aggregator::answer(&mut stream);
+    assert!(answer.head.contains("\r\nx-opaque-id: desk-7"), "{answer:?}");
+    let json = answer.json();
+    assert_eq!(json["_shards"], json!({"total": 4, "successful": 4, "skipped": 0, "failed": 0}));
+    assert_eq!(json["hits"]["total"], json!({"value": 4, "relation": "eq"}));
+    assert_eq!(json["hits"]["hits"].as_array().unwrap().len(), 3);
+    assert!(json["took"].is_u64());
+}
+
+#[test]
+fn a_chunked_body_is_read_and_a_second_request_uses_the_same_connection() {
+    let aggregator = Aggregator::start(Wire::OpenSearch, 1);
+    let mut stream = aggregator.connect();
+    for _ in 0..2 {
+        let head = b"POST /run-lookup/_search HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(head).unwrap();
+        stream.write_all(b"5\r\n{\"siz\r\n6;x=y\r\ne\": 2}\r\n0\r\n\r\n").unwrap();
+        assert_eq!(answer(&mut stream).json()["hits"]["hits"].as_array().unwrap().len(), 2);
+    }
+    drop(stream);
+    let line = aggregator.logged("end client");
+    assert!(line.contains("code=peer_closed requests=2"), "{line}");
+}
+
+#[test]
+fn bad_configuration_names_the_key_and_exits_with_an_error() {
+    let path = std::env::temp_dir().join(format!("ironpaddle-bad-{}.json", std::process::id()));
+    std::fs::write(&path, r#"{"name":"n","listen":"127.0.0.1:0","discovery":"nowhere","settings":{}}"#)
+        .unwrap();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_ironpaddle")).arg(&path).output().unwrap();
+    let _ = std::fs::remove_file(&path);
+    assert!(!output.status.success());
+    let mut text = String::new();
+    output.stderr.as_slice().read_to_string(&mut text).unwrap();
+    assert!(text.contains("key discovery"), "{text}");
+}
--- /dev/null
+++ b/tests/sockets/stand_in.rs
@@ -0,0 +1,255 @@
+//! Stand-ins on loopback, one thread for each connection: run stores on both wires, and discovery.
+
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+/// What clients, the aggregator and run stores speak in a test.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wire {
+    Frames,
+    OpenSearch,
+}
+
+pub const WIRES: [Wire; 2] = [Wire::Frames, Wire::OpenSearch];
+
+/// What a run store does with a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Act {
+    Serve,
+    /// It has run and ends in an error.
+    Error,
+    /// It is turned away and has not run.
+    TurnAway,
+    /// It is taken, and no word comes.
+    Silent,
+    /// It is taken, and the connection breaks.
+    Break,
+    /// A raw answer to a search, its connection closed after it.
+    Raw(&'static str),
+}
+
+/// What stand-ins and tests tell each other.
+#[derive(Default)]
+pub struct Board {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+pub struct State {
+    /// What each run store does with parts; `Serve` where nothing is said.
+    pub acts: BTreeMap<usize, Act>,
+    /// Run store and shard of each part that arrived whole, in order.
+    pub parts: Vec<(usize, u32)>,
+    /// Run stores at which a part was given up.
+    pub given_up: Vec<usize>,
+    /// Connections that each run store has accepted.
+    pub connections: BTreeMap<usize, usize>,
+    /// Versions of the list, in order.
+    lists: Vec<Value>,
+    /// The version that discovery has told last.
+    told: usize,
+}
+
+/// Long enough for anything that will happen at all; nothing is measured by it.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+impl Board {
+    pub fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.state.lock().unwrap());
+        self.changed.notify_all();
+    }
+
+    pub fn read<T>(&self, read: impl FnOnce(&State) -> T) -> T {
+        read(&self.state.lock().unwrap())
+    }
+
+    pub fn wait(&self, what: &str, until: impl Fn(&State) -> bool) {
+        let state = self.state.lock().unwrap();
+        let (_state, late) =
+            self.changed.wait_timeout_while(state, PATIENCE, |state| !until(state)).expect("no panic");
+        assert!(!late.timed_out(), "waited in vain for: {what}");
+    }
+
+    pub fn act(&self, store: usize, act: Act) {
+        self.change(|state| {
+            state.acts.insert(store, act);
+        });
+    }
+
+    /// Tells a change of the list, and waits until the aggregator has it and asks for the next.
+    pub fn tell(&self, endpoints: Value) {
+        let mut version = 0;
+        self.change(|state| {
+            state.lists.push(endpoints);
+            version = state.lists.len();
+        });
+        self.wait("the change to be told", |state| state.told >= version);
+    }
+
+    fn arrived(&self, store: usize, shard: u32) -> Act {
+        let mut act = Act::Serve;
+        self.change(|state| {
+            state.parts.push((store, shard));
+            act = state.acts.get(&store).copied().unwrap_or(Act::Serve);
+        });
+        act
+    }
+}
+
+fn listen(accept: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let accept = Arc::new(accept);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let accept = accept.clone();
+            thread::spawn(move || accept(stream));
+        }
+    });
+    address
+}
+
+/// Starts a run store.
+pub fn run_store(board: &Arc<Board>, wire: Wire, store: usize) -> SocketAddr {
+    let board = board.clone();
+    listen(move |stream| {
+        board.change(|state| *state.connections.entry(store).or_default() += 1);
+        // A connection that ends in whatever way is no matter of the stand-in's.
+        let _ = match wire {
+            Wire::Frames => frames(&board, store, stream),
+            Wire::OpenSearch => searches(&board, store, stream),
+        };
+    })
+}
+
+fn frames(board: &Board, store: usize, mut stream: TcpStream) -> io::Result<()> {
+    let mut send = stream.try_clone()?;
+    let mut answer = move |letter: u8, rest: &[u8]| -> io::Result<()> {
+        let mut frame = (rest.len() as u32 + 1).to_le_bytes().to_vec();
+        frame.push(letter);
+        frame.extend_from_slice(rest);
+        send.write_all(&frame)
+    };
+    loop {
+        let mut length = [0; 4];
+        stream.read_exact(&mut length)?;
+        let mut frame = vec![0; u32::from_le_bytes(length) as usize];
+        stream.read_exact(&mut frame)?;
+        match frame[0] {
+            b'1' => {
+                let text = String::from_utf8(frame[1..].to_vec()).unwrap();
+                let (line, query) = text.split_once('\n').unwrap();
+                let words: Vec<&str> = line.split(' ').collect();
+                let [id, shard, wait, size] = words[..] else { panic!("a call's line: {line:?}") };
+                assert!(wait.strip_prefix("d=").unwrap().parse::<u64>().unwrap() > 0);
+                assert_eq!(size.parse::<usize>().unwrap(), query.len());
+                assert_eq!(id.rsplit_once('.').unwrap().1, shard);
+                match board.arrived(store, shard.parse().unwrap()) {
+                    Act::Serve => answer(b'5', format!("{id} S 7 util=0.50,qps=3\nv{shard}").as_bytes())?,
+                    Act::Error => answer(b'5', format!("{id} E 7 -\n").as_bytes())?,
+                    Act::TurnAway => answer(b'5', format!("{id} B 7 -\n").as_bytes())?,
+                    Act::Silent => {}
+                    Act::Break => return Ok(()),
+                    Act::Raw(_) => answer(b'?', b"what")?,
+                }
+            }
+            b'2' => board.change(|state| state.given_up.push(store)),
+            b'3' => answer(b'3', b"S")?,
+            b'4' => answer(b'4', b"util=0.10,qps=1")?,
+            other => panic!("a frame of the letter {other}"),
+        }
+    }
+}
+
+/// Reads an HTTP message: first line, the lower-case head, and a body by its length.
+pub fn read_http(stream: &mut TcpStream) -> io::Result<(String, String, Vec<u8>)> {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte)?;
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8(bytes).unwrap();
+    let first = head.lines().next().unwrap_or("").to_string();
+    let head = head.to_lowercase();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body)?;
+    Ok((first, head, body))
+}
+
+fn respond(stream: &mut TcpStream, status: &str, body: &str) -> io::Result<()> {
+    let length = body.len();
+    stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}").as_bytes())
+}
+
+fn searches(board: &Board, store: usize, mut stream: TcpStream) -> io::Result<()> {
+    loop {
+        let (first, _, _) = read_http(&mut stream)?;
+        if first.starts_with("GET / ") {
+            respond(&mut stream, "200 OK", "{}")?;
+            continue;
+        }
+        assert!(first.contains("/_search?"), "{first}");
+        let shard: u32 = first.split("_shards:").nth(1).unwrap().split('&').next().unwrap().parse().unwrap();
+        match board.arrived(store, shard) {
+            Act::Serve => {
+                let body = json!({"took": 1, "timed_out": false,
+                    "_shards": {"total": 1, "successful": 1, "skipped": 0, "failed": 0},
+                    "hits": {"total": {"value": 1, "relation": "eq"}, "max_score": 1.0,
+                        "hits": [{"_index": "i", "_id": format!("v{shard}"), "_score": 1.0}]}});
+                respond(&mut stream, "200 OK", &body.to_string())?;
+            }
+            Act::Error => respond(&mut stream, "500 Internal Server Error", "{\"error\":{},\"status\":500}")?,
+            Act::TurnAway => respond(&mut stream, "429 Too Many Requests", "{\"error\":{},\"status\":429}")?,
+            Act::Silent => {
+                // The search is given up by closing its connection.
+                let left = stream.read(&mut [0; 1])?;
+                assert_eq!(left, 0, "nothing follows a search that is out");
+                board.change(|state| state.given_up.push(store));
+                return Ok(());
+            }
+            Act::Break => return Ok(()),
+            Act::Raw(text) => {
+                stream.write_all(text.as_bytes())?;
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Starts a discovery service that tells the board's lists.
+pub fn discovery(board: &Arc<Board>) -> SocketAddr {
+    let board = board.clone();
+    listen(move |mut stream| {
+        while let Ok((first, _, _)) = read_http(&mut stream) {
+            let number = |name: &str| -> Option<usize> {
+                first.split(name).nth(1)?.split(['&', ' ']).next()?.parse().ok()
+            };
+            let after = number("after=").unwrap_or(0);
+            let wait = Duration::from_millis(number("wait_ms=").unwrap_or(0) as u64);
+            let mut state = board.state.lock().unwrap();
+            state.told = state.told.max(after);
+            board.changed.notify_all();
+            let (state, _) =
+                board.changed.wait_timeout_while(state, wait, |state| state.lists.len() <= after).unwrap();
+            let changes: Vec<Value> = state.lists[after.min(state.lists.len())..]
+                .iter()
+                .flat_map(|v| v.as_array().unwrap().clone())
+                .collect();
+            let body =
+                json!({"index": state.lists.len().max(after), "snapshot": false, "endpoints": changes});
+            drop(state);
+            if respond(&mut stream, "200 OK", &body.to_string()).is_err() {
+                return;
+            }
+        }
+    })
+}
