--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,197 @@
+//! The core's own guards, without any wire: one answer to each query, one end to each send, honest answers.
+
+use ironpaddle::api::{Outcome, Replica, ReplicaState};
+use ironpaddle::core::{Ask, AskPart, Call, CallEnd, Core, Listed, News, NotTaken, Order, QueryNo, Verdict};
+use ironpaddle::settings::Info;
+use serde_json::json;
+
+fn core(max_open: u32) -> Core {
+    let class = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 1000.0, "deadline_ms": 4000.0, "repeat": repeat});
+    let info: Info = serde_json::from_value(json!({
+        "caps": {"max_attempts": 3, "max_open": max_open, "max_retry_after_ms": 2000.0, "may_cancel": true},
+        "domain": {"cells": 1, "width": 1, "least_share": [0.4, 1.0], "complete_from": [1.0, 1.0]},
+        "request_classes": [class("search", "read_like"), class("entry", "non_idempotent")],
+        "tick_ms": 5.0,
+    }))
+    .unwrap();
+    let mut core = Core::new(&info, 7).unwrap();
+    core.take_news(News::Cached(vec![listed("a", ReplicaState::Active), listed("b", ReplicaState::Active)]));
+    core.step(0.0);
+    orders(&mut core);
+    core
+}
+
+fn listed(name: &str, state: ReplicaState) -> Listed {
+    let replica = Replica { id: name.into(), state, weight: 1.0, ..Replica::default() };
+    Listed { replica, address: Some(([127, 0, 0, 1], 9).into()) }
+}
+
+fn ask(class: &str, parts: u32) -> Ask {
+    let part = |shard| AskPart { shard, weight: 1.0 / f64::from(parts), hint: None, key: None };
+    Ask {
+        id: "r1".into(),
+        class: class.into(),
+        tenant: None,
+        timeout: Some(2000.0),
+        retried: false,
+        partial: true,
+        parts: (0..parts).map(part).collect(),
+        text: b"text"[..].into(),
+    }
+}
+
+fn orders(core: &mut Core) -> Vec<Order> {
+    std::iter::from_fn(|| core.next_order()).collect()
+}
+
+fn calls(orders: &[Order]) -> Vec<Call> {
+    let call = |order: &Order| match order {
+        Order::Send(call) => Some(call.clone()),
+        _ => None,
+    };
+    orders.iter().filter_map(call).collect()
+}
+
+fn finals(orders: &[Order]) -> Vec<(QueryNo, Verdict)> {
+    let last = |order: &Order| match order {
+        Order::Final { query, verdict } => Some((*query, verdict.clone())),
+        _ => None,
+    };
+    orders.iter().filter_map(last).collect()
+}
+
+fn served(value: &[u8]) -> CallEnd {
+    CallEnd { outcome: Outcome::Completed, value: Some(value.into()), load: None }
+}
+
+#[test]
+fn a_second_end_of_an_attempt_changes_nothing() {
+    let mut core = core(100);
+    let query = core.take_in(1.0, ask("search", 1)).unwrap();
+    core.step(5.0);
+    let sent = calls(&orders(&mut core));
+    assert_eq!((sent.len(), sent[0].part.as_str()), (1, "r1.0"));
+    core.call_ended(20.0, sent[0].no, served(b"first"));
+    core.call_ended(20.0, sent[0].no, served(b"second"));
+    core.call_timed_out(20.0, sent[0].no);
+    core.step(25.0);
+    let finals = finals(&orders(&mut core));
+    let [(no, Verdict::Served { whole: true, pieces, parts: 1 })] = &finals[..] else { panic!("{finals:?}") };
+    assert_eq!((*no, &pieces[0].value[..]), (query, &b"first"[..]));
+    assert_eq!(core.counters.ends[0], 1);
+    assert_eq!(core.counters.ends[3], 0);
+}
+
+#[test]
+fn what_the_router_still_holds_at_the_deadline_fails_once() {
+    let mut core = core(100);
+    core.take_in(0.0, ask("entry", 1)).unwrap();
+    core.step(5.0);
+    assert_eq!(calls(&orders(&mut core)).len(), 1);
+    // No step came in time, as on a machine that stood still.
+    core.step(2500.0);
+    let last = finals(&orders(&mut core));
+    assert!(matches!(last[..], [(_, Verdict::Failed { .. })]), "{last:?}");
+    core.step(2510.0);
+    assert!(finals(&orders(&mut core)).is_empty());
+    assert_eq!(core.open_queries(), 0);
+}
+
+#[test]
+fn a_client_that_left_gets_nothing_and_its_parts_are_called_back() {
+    let mut core = core(100);
+    let query = core.take_in(0.0, ask("search", 2)).unwrap();
+    core.step(5.0);
+    let sent = calls(&orders(&mut core));
+    core.client_gone(query);
+    core.step(10.0);
+    let orders = orders(&mut core);
+    assert!(finals(&orders).is_empty());
+    for call in sent {
+        assert!(orders.iter().any(|order| matches!(order, Order::GiveUp { no, .. } if *no == call.no)));
+    }
+}
+
+#[test]
+fn at_the_limit_a_query_is_refused_before_the_router_hears_of_it() {
+    let mut core = core(3);
+    core.take_in(0.0, ask("search", 2)).unwrap();
+    let second = core.take_in(0.0, ask("search", 1)).unwrap();
+    let refused = finals(&orders(&mut core));
+    let [(no, Verdict::Refused { retry_after })] = refused[..] else { panic!("{refused:?}") };
+    assert_eq!(no, second);
+    assert!(retry_after > 0.0);
+    core.step(5.0);
+    assert_eq!(calls(&orders(&mut core)).len(), 2);
+}
+
+#[test]
+fn parts_that_are_in_make_room_at_the_limit() {
+    let mut core = core(4);
+    core.take_in(0.0, ask("search", 3)).unwrap();
+    core.step(5.0);
+    let sent = calls(&orders(&mut core));
+    core.call_ended(10.0, sent[0].no, served(b"v"));
+    core.take_in(10.0, ask("search", 1)).unwrap();
+    assert!(finals(&orders(&mut core)).is_empty());
+}
+
+#[test]
+fn a_drain_takes_back_what_is_queued_and_nothing_new_is_sent() {
+    let mut core = core(100);
+    core.take_news(News::Changes(vec![listed("a", ReplicaState::Draining)]));
+    assert_eq!(orders(&mut core), [Order::Retire("a".into())]);
+    for _ in 0..5 {
+        core.take_in(0.0, ask("search", 2)).unwrap();
+    }
+    core.step(5.0);
+    let sent = calls(&orders(&mut core));
+    assert_eq!(sent.len(), 10);
+    assert!(sent.iter().all(|call| call.replica == "b".into()));
+    // A whole list without it says that it is gone, and one that names it again locates it anew.
+    core.take_news(News::Full(vec![listed("a", ReplicaState::Active)]));
+    let orders = orders(&mut core);
+    assert!(orders.contains(&Order::Retire("b".into())), "{orders:?}");
+    assert!(
+        matches!(&orders[..], [.., Order::Locate { replica, .. }] if *replica == "a".into()),
+        "{orders:?}"
+    );
+}
+
+#[test]
+fn a_query_that_contradicts_itself_is_not_taken() {
+    let mut core = core(100);
+    let mut twice = ask("search", 2);
+    twice.parts[1].shard = 0;
+    let mut heavy = ask("search", 2);
+    heavy.parts[1].weight = 9.0;
+    let mut broken = ask("search", 2);
+    broken.parts[1].weight = f64::NAN;
+    for ask in [ask("search", 0), twice, heavy, broken] {
+        assert!(matches!(core.take_in(0.0, ask), Err(NotTaken::Malformed(_))));
+    }
+    assert_eq!(core.take_in(0.0, ask("none", 1)), Err(NotTaken::UnknownClass));
+    assert_eq!(core.counters.taken, 0);
+}
+
+#[test]
+fn an_unsafe_part_that_may_have_run_is_failed_and_one_that_has_not_is_refused() {
+    for (outcome, refused) in [(Outcome::Reset, false), (Outcome::Errored, false), (Outcome::Rejected, true)]
+    {
+        let mut core = core(100);
+        core.take_in(0.0, ask("entry", 1)).unwrap();
+        let mut now = 0.0;
+        let mut last = Vec::new();
+        while last.is_empty() && now < 3000.0 {
+            now += 5.0;
+            core.step(now);
+            let orders = orders(&mut core);
+            last = finals(&orders);
+            for call in calls(&orders) {
+                core.call_ended(now, call.no, CallEnd::bare(outcome));
+            }
+        }
+        let [(_, verdict)] = &last[..] else { panic!("{outcome:?}: {last:?}") };
+        assert_eq!(matches!(verdict, Verdict::Refused { .. }), refused, "{outcome:?}: {verdict:?}");
+    }
+}
