--- a/src/config.rs
+++ b/src/config.rs
@@ -7,6 +7,7 @@
 use std::{env, fs};
 
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::directory::list::List;
 use crate::settings::Info;
@@ -22,8 +23,15 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery listens.
-    pub discovery: SocketAddr,
+    /// Where discovery listens; either this or `dns_sd` is set.
+    #[serde(default)]
+    pub discovery: Option<SocketAddr>,
+    /// The DNS server and the service that list the run stores.
+    #[serde(default)]
+    pub dns_sd: Option<DnsSd>,
+    /// The replicated store; off where it is not set.
+    #[serde(default)]
+    pub store: Option<Store>,
     /// The source of chance, in hex digits.
     #[serde(default)]
     pub seed: String,
@@ -36,8 +44,37 @@
     /// What clients and run stores speak.
     #[serde(default)]
     pub api: Api,
-    /// The settings of the site.
-    pub settings: Info,
+    /// The settings of the site, as text; without them they come from the store.
+    #[serde(default)]
+    pub settings: Option<Box<RawValue>>,
+}
+
+/// The DNS server and the service that list the run stores.
+#[derive(Debug, Clone, Deserialize)]
+pub struct DnsSd {
+    /// Where the DNS server listens.
+    pub server: SocketAddr,
+    /// The service, such as `_run-store._tcp.example`.
+    pub service: String,
+    /// The time between two looks, in milliseconds.
+    #[serde(default = "two_seconds")]
+    pub refresh_ms: f64,
+}
+
+fn two_seconds() -> f64 {
+    2000.0
+}
+
+/// This peer of the replicated store.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Store {
+    /// Where peers connect.
+    pub listen: SocketAddr,
+    /// The other peers.
+    pub peers: Vec<SocketAddr>,
+    /// The version of `settings` in this file; the highest that any peer knows is used.
+    #[serde(default)]
+    pub settings_version: u64,
 }
 
 /// What clients and run stores speak.
@@ -83,10 +120,11 @@
     /// # Errors
     /// Says which key is at fault.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let mut json = serde_json::Deserializer::from_str(text);
-        let config: Config = serde_path_to_error::deserialize(&mut json)
-            .map_err(|error| format!("key {}: {}", error.path(), error.inner()))?;
+        let config: Config = read(text, "")?;
         config.check()?;
+        if let Some(settings) = &config.settings {
+            config.settings(settings.get())?;
+        }
         Ok(config)
     }
 
@@ -97,15 +135,41 @@
         if !self.seed.is_empty() && u64::from_str_radix(&self.seed, 16).is_err() {
             return Err("key seed: must be up to 16 hex digits".into());
         }
-        if self.api == Api::Opensearch && self.settings.domain.shards.is_none_or(|shards| shards == 0) {
+        match (&self.discovery, &self.dns_sd) {
+            (Some(_), Some(_)) => return Err("key dns_sd: may not be set beside discovery".into()),
+            (None, None) => return Err("key discovery: is missing, and so is dns_sd".into()),
+            (None, Some(dns)) if !(100.0..=3_600_000.0).contains(&dns.refresh_ms) => {
+                return Err("key dns_sd.refresh_ms: must be 100 to 3600000".into());
+            }
+            _ => {}
+        }
+        match &self.store {
+            Some(store) if !store.listen.ip().is_loopback() => {
+                Err("key store.listen: peers are not authenticated; it must be a loopback address".into())
+            }
+            Some(store) if store.peers.iter().any(|peer| !peer.ip().is_loopback()) => {
+                Err("key store.peers: peers are not authenticated; all must be loopback addresses".into())
+            }
+            None if self.settings.is_none() => Err("key settings: is missing, and so is store".into()),
+            _ => Ok(()),
+        }
+    }
+
+    /// Reads and checks a settings object, of this file or of the store.
+    ///
+    /// # Errors
+    /// Says which key is at fault.
+    pub fn settings(&self, text: &str) -> Result<Info, String> {
+        let info: Info = read(text, "settings.")?;
+        if self.api == Api::Opensearch && info.domain.shards.is_none_or(|shards| shards == 0) {
             return Err(
                 "key settings.domain.shards: the OpenSearch-style API needs their number, 1 or more".into()
             );
         }
-        if self.settings.domain.class_fetch.iter().any(|parts| *parts > 0) {
+        if info.domain.class_fetch.iter().any(|parts| *parts > 0) {
             return Err("key settings.domain.class_fetch: a second step is not spoken on sockets".into());
         }
-        for class in &self.settings.request_classes {
+        for class in &info.request_classes {
             if class.deadline_ms.is_some_and(|limit| !limit.is_finite() || limit <= 0.0) {
                 return Err(format!(
                     "key settings.request_classes: deadline_ms of {} must be above 0",
@@ -113,7 +177,8 @@
                 ));
             }
         }
-        self.settings.settings().check().map_err(|why| format!("key settings: {why}"))
+        info.settings().check().map_err(|why| format!("key settings: {why}"))?;
+        Ok(info)
     }
 
     /// The source of chance as a number.
@@ -130,9 +195,69 @@
     pub fn store_connections(&self) -> usize {
         (self.limits.sockets - SPARE_DESCRIPTORS) / 5
     }
+}
+
+fn read<'a, T: Deserialize<'a>>(text: &'a str, under: &str) -> Result<T, String> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(&mut json)
+        .map_err(|error| format!("key {under}{}: {}", error.path(), error.inner()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SETTINGS: &str = r#""settings":{"domain":{"cells":1,"width":1},
+        "request_classes":[{"name":"a","aim_ms":1.0,"repeat":"read_like"}]}"#;
+
+    fn parse(rest: &str) -> Result<Config, String> {
+        Config::parse(&format!(r#"{{"name":"n","listen":"127.0.0.1:0",{rest}}}"#))
+    }
+
+    #[test]
+    fn what_is_not_said_has_a_default() {
+        let config = parse(&format!(r#""discovery":"127.0.0.1:1",{SETTINGS}"#)).unwrap();
+        assert_eq!((config.limits.sockets, config.api, config.seed()), (1024, Api::Platform, 0));
+        assert!(config.client_connections() + config.store_connections() + SPARE_DESCRIPTORS <= 1024);
+    }
+
+    #[test]
+    fn messages_name_the_faulty_key() {
+        let discovery = r#""discovery":"127.0.0.1:1""#;
+        for (rest, key) in [
+            (format!(r#""discovery":"nowhere",{SETTINGS}"#), "key discovery:"),
+            (SETTINGS.to_string(), "key discovery:"),
+            (
+                format!(r#"{discovery},"dns_sd":{{"server":"127.0.0.1:1","service":"_a._tcp"}},{SETTINGS}"#),
+                "key dns_sd:",
+            ),
+            (discovery.to_string(), "key settings:"),
+            (format!(r#"{discovery},"seed":"xyz",{SETTINGS}"#), "key seed:"),
+            (format!(r#"{discovery},"limits":{{"sockets":3}},{SETTINGS}"#), "key limits.sockets:"),
+            (format!(r#"{discovery},"limits":{{"sockets":"many"}},{SETTINGS}"#), "key limits.sockets:"),
+            (format!(r#"{discovery},"api":"opensearch",{SETTINGS}"#), "key settings.domain.shards:"),
+            (format!(r#"{discovery},"api":"soap",{SETTINGS}"#), "key api:"),
+            (format!(r#"{discovery},"settings":{{"domain":{{"cells":"x"}}}}"#), "key settings.domain.cells:"),
+            (
+                format!(r#"{discovery},"store":{{"listen":"10.0.0.1:1","peers":[]}},{SETTINGS}"#),
+                "key store.listen:",
+            ),
+            (
+                format!(
+                    r#"{discovery},"store":{{"listen":"127.0.0.1:1","peers":["10.0.0.1:1"]}},{SETTINGS}"#
+                ),
+                "key store.peers:",
+            ),
+        ] {
+            let message = parse(&rest).map(|_| ()).unwrap_err();
+            assert!(message.starts_with(key), "{key} is not named: {message}");
+        }
+    }
 
-    /// The longest time that any query may take, in milliseconds.
-    pub fn longest_deadline(&self) -> f64 {
-        self.settings.request_classes.iter().filter_map(|class| class.deadline_ms).fold(0.0, f64::max)
+    #[test]
+    fn the_operators_file_is_sound() {
+        let config = Config::parse(include_str!("../deploy/operator.json")).unwrap();
+        assert_eq!(config.api, Api::Opensearch);
+        assert!(config.store.is_some() && config.dns_sd.is_some());
     }
 }
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -114,6 +114,11 @@
         self.waiting.borrow().len()
     }
 
+    /// The list of run stores as last told.
+    pub fn directory(&self) -> Vec<super::Listed> {
+        self.core.borrow().directory()
+    }
+
     /// Takes a query.
     ///
     /// # Errors
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use super::{CallNo, Piece, QueryNo};
-use crate::api::{Attempt, Millis, PartId, QueryId, ReplicaId, ReplicaState};
+use crate::api::{Attempt, Millis, PartId, QueryId, Replica, ReplicaId};
 
 /// A query that is owed a final answer.
 #[derive(Debug)]
@@ -59,8 +59,8 @@
 /// What is known of a run store's place.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Place {
-    /// Its standing in the list.
-    pub state: ReplicaState,
+    /// Its line in the list, with its state as last told.
+    pub replica: Replica,
     /// Where it listens, and since when its process runs.
     pub at: Option<(std::net::SocketAddr, Option<Millis>)>,
 }
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -35,7 +35,8 @@
 
     fn probe(&mut self, replica: crate::api::ReplicaId) {
         let place = self.ledger.places.get(&replica);
-        let listed = place.is_some_and(|place| place.at.is_some() && place.state != ReplicaState::Gone);
+        let listed =
+            place.is_some_and(|place| place.at.is_some() && place.replica.state != ReplicaState::Gone);
         // One probe at a time for each run store: a second would only add load to one in trouble.
         if self.ledger.probes.values().any(|known| *known == replica) {
             return;
@@ -63,7 +64,7 @@
                 self.ledger.places.keys().filter(|id| !named((*id).clone())).cloned().collect();
             for id in missing {
                 if let Some(place) = self.ledger.places.get_mut(&id) {
-                    place.state = ReplicaState::Gone;
+                    place.replica.state = ReplicaState::Gone;
                 }
                 self.orders.push_back(Order::Retire(id));
             }
@@ -80,10 +81,21 @@
         }));
     }
 
+    /// The list as last told, without what is gone.
+    pub fn directory(&self) -> Vec<Listed> {
+        let here = |place: &&Place| place.replica.state != ReplicaState::Gone;
+        let line = |place: &Place| Listed {
+            replica: place.replica.clone(),
+            address: place.at.map(|(address, _)| address),
+        };
+        self.ledger.places.values().filter(here).map(line).collect()
+    }
+
     fn locate(&mut self, line: &Listed) {
         let (id, state) = (line.replica.id.clone(), line.replica.state);
         let place = self.ledger.places.get(&id);
-        let known = place.filter(|place| place.state == ReplicaState::Active).and_then(|place| place.at);
+        let known =
+            place.filter(|place| place.replica.state == ReplicaState::Active).and_then(|place| place.at);
         let at =
             line.address.map(|address| (address, line.replica.started)).or(place.and_then(|place| place.at));
         if state == ReplicaState::Active {
@@ -94,6 +106,6 @@
             // The drain rule counts queued and connecting sends too.
             self.orders.push_back(Order::Retire(id.clone()));
         }
-        self.ledger.places.insert(id, Place { state, at });
+        self.ledger.places.insert(id, Place { replica: line.replica.clone(), at });
     }
 }
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -16,7 +16,7 @@
         let out = Out { part: part.clone(), attempt, replica: replica.clone(), sent: now };
         self.ledger.out.insert(no, out);
         self.ledger.calls.insert((part, attempt), no);
-        let active = |id| self.ledger.places.get(id).is_some_and(|p| p.state == ReplicaState::Active);
+        let active = |id| self.ledger.places.get(id).is_some_and(|p| p.replica.state == ReplicaState::Active);
         let Some(query) = self.ledger.queries.get(&query).filter(|_| active(&replica)) else {
             self.call_ended(now, no, CallEnd::bare(Outcome::NotSent));
             return;
--- /dev/null
+++ b/src/directory/dns.rs
@@ -0,0 +1,233 @@
+//! DNS messages (RFC 1035) as far as DNS-SD needs them, to and from bytes. It does no input.
+
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+
+/// The types of record that are asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// An IPv4 address.
+    A = 1,
+    /// A pointer to a name.
+    Ptr = 12,
+    /// Texts.
+    Txt = 16,
+    /// An IPv6 address.
+    Aaaa = 28,
+    /// A service's host and port.
+    Srv = 33,
+}
+
+/// A name: its labels, which may hold any bytes.
+pub type Name = Vec<String>;
+
+/// What a record says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Data {
+    /// Of an A or AAAA record.
+    Address(IpAddr),
+    /// Of a PTR record.
+    Pointer(Name),
+    /// Of a TXT record.
+    Texts(Vec<Vec<u8>>),
+    /// Of an SRV record: port and host. Priority and weight do not matter here, as run stores are not alike.
+    Service(u16, Name),
+    /// Of any other.
+    Other,
+}
+
+/// A record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// Whose it is.
+    pub name: Name,
+    /// What it says.
+    pub data: Data,
+}
+
+/// A response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    /// The number of its query.
+    pub id: u16,
+    /// Whether it was cut to fit a datagram.
+    pub cut: bool,
+    /// Its code; 0 for success, 3 for a name that does not exist.
+    pub code: u8,
+    /// Answers and additional records.
+    pub records: Vec<Record>,
+}
+
+/// Reads a dotted name.
+pub fn name(text: &str) -> Name {
+    text.trim_end_matches('.').split('.').filter(|label| !label.is_empty()).map(str::to_string).collect()
+}
+
+/// Whether two names are the same: case does not matter.
+pub fn same(one: &[String], other: &[String]) -> bool {
+    one.len() == other.len() && one.iter().zip(other).all(|(a, b)| a.eq_ignore_ascii_case(b))
+}
+
+/// A query, as bytes. Labels of over 63 bytes cannot be asked for.
+pub fn query(id: u16, name: &[String], kind: Kind) -> Option<Vec<u8>> {
+    let mut bytes = id.to_be_bytes().to_vec();
+    // Recursion desired, one question.
+    bytes.extend_from_slice(&[1, 0, 0, 1, 0, 0, 0, 0, 0, 0]);
+    for label in name {
+        bytes.push(u8::try_from(label.len()).ok().filter(|length| (1..=63).contains(length))?);
+        bytes.extend_from_slice(label.as_bytes());
+    }
+    bytes.push(0);
+    bytes.extend_from_slice(&(kind as u16).to_be_bytes());
+    bytes.extend_from_slice(&[0, 1]);
+    Some(bytes)
+}
+
+/// Reads a response; `None` if it is malformed.
+pub fn read(bytes: &[u8]) -> Option<Response> {
+    let mut at = Cursor { bytes, at: 0 };
+    let (id, flags) = (at.u16()?, at.u16()?);
+    if flags & 0x8000 == 0 {
+        return None;
+    }
+    let (questions, answers, authorities, more) = (at.u16()?, at.u16()?, at.u16()?, at.u16()?);
+    for _ in 0..questions {
+        at.name()?;
+        at.take(4)?;
+    }
+    let mut records = Vec::new();
+    for number in 0..u32::from(answers) + u32::from(authorities) + u32::from(more) {
+        let record = at.record()?;
+        let authority = number >= u32::from(answers) && number < u32::from(answers) + u32::from(authorities);
+        if !authority {
+            records.push(record);
+        }
+    }
+    Some(Response { id, cut: flags & 0x0200 != 0, code: (flags & 0xf) as u8, records })
+}
+
+struct Cursor<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Cursor<'a> {
+    fn take(&mut self, count: usize) -> Option<&'a [u8]> {
+        let taken = self.bytes.get(self.at..self.at.checked_add(count)?)?;
+        self.at += count;
+        Some(taken)
+    }
+
+    fn u16(&mut self) -> Option<u16> {
+        self.take(2).map(|bytes| u16::from_be_bytes([bytes[0], bytes[1]]))
+    }
+
+    fn name(&mut self) -> Option<Name> {
+        let mut name = Name::new();
+        let mut total = 0;
+        // A pointer may only lead backwards, so that a name always ends.
+        let (mut at, mut resume, mut limit) = (self.at, None, self.at);
+        loop {
+            let length = usize::from(*self.bytes.get(at)?);
+            match length >> 6 {
+                0 if length == 0 => {
+                    self.at = resume.unwrap_or(at + 1);
+                    return Some(name);
+                }
+                0 => {
+                    let label = self.bytes.get(at + 1..at + 1 + length)?;
+                    total += length + 1;
+                    if total > 254 {
+                        return None;
+                    }
+                    name.push(String::from_utf8_lossy(label).into_owned());
+                    at += 1 + length;
+                }
+                3 => {
+                    let to = (length & 0x3f) << 8 | usize::from(*self.bytes.get(at + 1)?);
+                    if to >= limit {
+                        return None;
+                    }
+                    resume = resume.or(Some(at + 2));
+                    (at, limit) = (to, to);
+                }
+                _ => return None,
+            }
+        }
+    }
+
+    fn record(&mut self) -> Option<Record> {
+        let name = self.name()?;
+        let kind = self.u16()?;
+        self.take(6)?;
+        let length = usize::from(self.u16()?);
+        let end = self.at + length;
+        self.bytes.get(self.at..end)?;
+        let data = match kind {
+            1 => {
+                let bytes: [u8; 4] = self.take(4)?.try_into().ok()?;
+                Data::Address(Ipv4Addr::from(bytes).into())
+            }
+            28 => {
+                let bytes: [u8; 16] = self.take(16)?.try_into().ok()?;
+                Data::Address(Ipv6Addr::from(bytes).into())
+            }
+            12 => Data::Pointer(self.name()?),
+            33 => {
+                self.take(4)?;
+                let port = self.u16()?;
+                Data::Service(port, self.name()?)
+            }
+            16 => {
+                let mut texts = Vec::new();
+                while self.at < end {
+                    let length = usize::from(self.take(1)?[0]);
+                    texts.push(self.take(length)?.to_vec());
+                }
+                Data::Texts(texts)
+            }
+            _ => Data::Other,
+        };
+        if self.at > end {
+            return None;
+        }
+        self.at = end;
+        Some(Record { name, data })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A response with a PTR whose target ends in a pointer to the question's name.
+    fn response() -> Vec<u8> {
+        let mut bytes = query(9, &name("_run-store._tcp.test"), Kind::Ptr).unwrap();
+        (bytes[2], bytes[7]) = (0x84, 1);
+        bytes.extend_from_slice(&[0xc0, 12, 0, 12, 0, 1, 0, 0, 0, 60, 0, 6, 3, b's', b'-', b'1', 0xc0, 12]);
+        bytes
+    }
+
+    #[test]
+    fn compressed_names_are_read() {
+        let read = read(&response()).unwrap();
+        assert_eq!((read.id, read.code, read.cut), (9, 0, false));
+        assert!(same(&read.records[0].name, &name("_RUN-STORE._tcp.test.")));
+        assert_eq!(read.records[0].data, Data::Pointer(name("s-1._run-store._tcp.test")));
+    }
+
+    #[test]
+    fn what_is_cut_or_leads_in_circles_is_malformed() {
+        let whole = response();
+        for length in 0..whole.len() {
+            assert_eq!(read(&whole[..length]), None, "{length} bytes");
+        }
+        let mut circle = whole.clone();
+        let last = circle.len() - 1;
+        circle[last] = last as u8 - 5;
+        assert_eq!(read(&circle), None);
+        let mut asked = whole;
+        asked[2] = 0;
+        assert_eq!(read(&asked), None, "a query is no response");
+        assert_eq!(query(1, &["x".repeat(64)], Kind::Srv), None);
+    }
+}
--- /dev/null
+++ b/src/directory/dns_sd.rs
@@ -0,0 +1,212 @@
+//! A directory from DNS-SD records (RFC 6763): PTR names the run stores, SRV and TXT tell of each.
+//!
+//! The TXT record of a run store has `group` (its cell) and may have `zone`, `status` (`ready` or `draining`),
+//! `weight` and `since_ms`, with the meanings of the discovery service's list.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use async_net::{TcpStream, UdpSocket};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+
+use super::dns::{self, Data, Kind, Name, Record, Response};
+use super::list::{Line, List};
+use crate::core::drive::{Directory, Driver};
+use crate::core::News;
+use crate::http::client::within;
+use crate::log::{self, Reason};
+
+/// How long a query may take, and how often it is made: datagrams get lost.
+const LIMIT: Duration = Duration::from_millis(500);
+const TRIES: usize = 3;
+
+/// A directory that asks a DNS server again and again.
+pub struct DnsSd {
+    driver: Rc<Driver>,
+    server: SocketAddr,
+    service: Name,
+    refresh: Duration,
+    on: Cell<bool>,
+    last: RefCell<List>,
+}
+
+impl DnsSd {
+    /// A directory of the instances of a service, such as `_run-store._tcp.example`.
+    pub fn new(driver: Rc<Driver>, server: SocketAddr, service: &str, refresh: Duration) -> Rc<Self> {
+        let service = dns::name(service);
+        Rc::new(DnsSd { driver, server, service, refresh, on: Cell::new(false), last: RefCell::default() })
+    }
+
+    async fn run(self: Rc<Self>) {
+        let why = loop {
+            match self.list().await {
+                // No run store at all is more likely a fault of the zone than the truth: the old list stands.
+                Ok(list) if list.endpoints.is_empty() => {
+                    break io::Error::new(io::ErrorKind::InvalidData, "no run store is listed");
+                }
+                Ok(list) if *self.last.borrow() != list => {
+                    self.driver.take_news(list.news());
+                    *self.last.borrow_mut() = list;
+                }
+                // Nothing new, which the core is to know once, when it starts to watch.
+                Ok(_) => self.driver.take_news(News::Changes(Vec::new())),
+                Err(why) => break why,
+            }
+            Timer::after(self.refresh).await;
+        };
+        let reason = if why.kind() == io::ErrorKind::TimedOut { Reason::TooSlow } else { Reason::Malformed };
+        log::ended("dns", Some(self.server), reason, why);
+        // The core decides when to ask again.
+        self.on.set(false);
+        self.driver.take_news(News::Broken);
+    }
+
+    /// All run stores, as the records tell of them now.
+    async fn list(&self) -> io::Result<List> {
+        let pointers = self.ask(&self.service, Kind::Ptr).await?;
+        let mut lines = BTreeMap::new();
+        for record in pointers.iter().filter(|record| dns::same(&record.name, &self.service)) {
+            let Data::Pointer(instance) = &record.data else { continue };
+            if let Some(line) = self.instance(instance, &pointers).await? {
+                lines.insert(line.name.clone(), line);
+            }
+        }
+        Ok(List { index: 0, snapshot: true, endpoints: lines.into_values().collect() })
+    }
+
+    /// The line of a run store; `None` if its records do not tell enough.
+    async fn instance(&self, name: &Name, known: &[Record]) -> io::Result<Option<Line>> {
+        let mut records = known.to_vec();
+        let of = |records: &[Record], wanted: fn(&Data) -> bool| {
+            records.iter().any(|record| dns::same(&record.name, name) && wanted(&record.data))
+        };
+        // Servers may send these along with the pointers; what they did not is asked for.
+        if !of(&records, |data| matches!(data, Data::Service(..))) {
+            records.extend(self.ask(name, Kind::Srv).await?);
+        }
+        if !of(&records, |data| matches!(data, Data::Texts(_))) {
+            records.extend(self.ask(name, Kind::Txt).await?);
+        }
+        let own = || records.iter().filter(|record| dns::same(&record.name, name));
+        let service = own().find_map(|record| match &record.data {
+            Data::Service(port, host) => Some((*port, host.clone())),
+            _ => None,
+        });
+        let texts = own().find_map(|record| match &record.data {
+            Data::Texts(texts) => Some(texts.clone()),
+            _ => None,
+        });
+        let (Some((port, host)), Some(texts)) = (service, texts) else { return Ok(None) };
+        let mut address = find_address(&records, &host);
+        for kind in [Kind::A, Kind::Aaaa] {
+            if address.is_none() {
+                address = find_address(&self.ask(&host, kind).await?, &host);
+            }
+        }
+        Ok(address.and_then(|ip| line(&name[0], SocketAddr::new(ip, port), &texts)))
+    }
+
+    async fn ask(&self, name: &[String], kind: Kind) -> io::Result<Vec<Record>> {
+        let id = fastrand::u16(..);
+        let query = dns::query(id, name, kind).ok_or(io::ErrorKind::InvalidInput)?;
+        let mut answer = Err(io::ErrorKind::TimedOut.into());
+        for _ in 0..TRIES {
+            answer = within(LIMIT, self.datagram(id, &query)).await;
+            if answer.is_ok() {
+                break;
+            }
+        }
+        let mut answer = answer?;
+        if answer.cut {
+            answer = within(LIMIT, self.stream(&query)).await?;
+        }
+        match answer.code {
+            0 => Ok(answer.records),
+            // No such name: there is no such record.
+            3 => Ok(Vec::new()),
+            code => Err(io::Error::new(io::ErrorKind::InvalidData, format!("response code {code}"))),
+        }
+    }
+
+    async fn datagram(&self, id: u16, query: &[u8]) -> io::Result<Response> {
+        let any: IpAddr = if self.server.is_ipv4() { [0; 4].into() } else { [0u16; 8].into() };
+        let socket = UdpSocket::bind((any, 0)).await?;
+        socket.connect(self.server).await?;
+        socket.send(query).await?;
+        let mut bytes = vec![0; 4096];
+        loop {
+            let count = socket.recv(&mut bytes).await?;
+            // A late answer to another query is passed over.
+            if let Some(response) = dns::read(&bytes[..count]).filter(|response| response.id == id) {
+                return Ok(response);
+            }
+        }
+    }
+
+    async fn stream(&self, query: &[u8]) -> io::Result<Response> {
+        let mut stream = TcpStream::connect(self.server).await?;
+        let length = (query.len() as u16).to_be_bytes();
+        stream.write_all(&[&length[..], query].concat()).await?;
+        let mut length = [0; 2];
+        stream.read_exact(&mut length).await?;
+        let mut bytes = vec![0; usize::from(u16::from_be_bytes(length))];
+        stream.read_exact(&mut bytes).await?;
+        dns::read(&bytes).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+}
+
+impl Directory for Rc<DnsSd> {
+    fn watch(&self) {
+        if !self.on.replace(true) {
+            // What was known before a failure is told again, as the core waits for a list.
+            *self.last.borrow_mut() = List::default();
+            self.driver.executor().spawn(self.clone().run()).detach();
+        }
+    }
+}
+
+fn find_address(records: &[Record], host: &Name) -> Option<IpAddr> {
+    records.iter().filter(|record| dns::same(&record.name, host)).find_map(|record| match record.data {
+        Data::Address(ip) => Some(ip),
+        _ => None,
+    })
+}
+
+/// A run store's line from its TXT record; `None` without a `group`.
+fn line(name: &str, address: SocketAddr, texts: &[Vec<u8>]) -> Option<Line> {
+    let value = |key: &str| {
+        texts.iter().filter_map(|text| std::str::from_utf8(text).ok()).find_map(|text| {
+            let (known, value) = text.split_once('=')?;
+            known.eq_ignore_ascii_case(key).then(|| value.to_string())
+        })
+    };
+    Some(Line {
+        name: name.to_string(),
+        address: address.to_string(),
+        zone: value("zone").unwrap_or_default(),
+        group: value("group")?.parse().ok()?,
+        status: value("status").unwrap_or_else(|| "ready".into()),
+        weight: value("weight").and_then(|weight| weight.parse().ok()).unwrap_or(1.0),
+        since_ms: value("since_ms").and_then(|since| since.parse().ok()).unwrap_or(0.0),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_text_record_tells_a_run_stores_line() {
+        let address = SocketAddr::from(([127, 0, 0, 1], 80));
+        let texts = |texts: &[&str]| texts.iter().map(|text| text.as_bytes().to_vec()).collect::<Vec<_>>();
+        let told = line("s-1", address, &texts(&["Group=4", "status=draining", "since_ms=9"])).unwrap();
+        assert_eq!((told.group, told.status.as_str(), told.since_ms, told.weight), (4, "draining", 9.0, 1.0));
+        assert_eq!(line("s-1", address, &texts(&["zone=z"])), None, "without a group it holds no shard");
+        assert_eq!(line("s-1", address, &texts(&["group=many"])), None);
+    }
+}
--- a/src/directory/list.rs
+++ b/src/directory/list.rs
@@ -1,12 +1,12 @@
 //! The discovery service's list, from JSON.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::api::{Replica, ReplicaId, ReplicaState};
 use crate::core::{Listed, News};
 
 /// An answer of the discovery service, or the list of an aggregator's configuration.
-#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct List {
     /// The version of the list.
     #[serde(default)]
@@ -20,7 +20,7 @@
 }
 
 /// A line of the list.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Line {
     /// The run store's name.
     pub name: String,
@@ -71,6 +71,20 @@
         self.endpoints.iter().map(Line::listed).collect()
     }
 
+    /// A whole list of such lines.
+    pub fn of(lines: &[Listed]) -> Self {
+        let line = |line: &Listed| Line {
+            name: line.replica.id.0.to_string(),
+            address: line.address.map(|address| address.to_string()).unwrap_or_default(),
+            zone: line.replica.zone.to_string(),
+            group: line.replica.cell,
+            status: if line.replica.state == ReplicaState::Active { "ready" } else { "draining" }.into(),
+            weight: line.replica.weight,
+            since_ms: line.replica.started.unwrap_or(0.0),
+        };
+        List { index: 0, snapshot: true, endpoints: lines.iter().map(line).collect() }
+    }
+
     /// As news.
     pub fn news(&self) -> News {
         if self.snapshot {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod service;
 #[allow(missing_docs)] // Its fields have the names that the settings object gives them.
 pub mod settings;
+pub mod store;
 pub mod transport;
 
 pub use decide::Router;
--- a/src/service.rs
+++ b/src/service.rs
@@ -11,13 +11,18 @@
 use futures_lite::{future, StreamExt};
 
 use crate::config::{Api, Config};
-use crate::core::drive::{Driver, RunStores};
+use crate::core::drive::{Directory, Driver, RunStores};
 use crate::core::{Core, News};
+use crate::directory::dns_sd::DnsSd;
+use crate::directory::list::List;
 use crate::directory::watch::Watch;
 use crate::front::opensearch::OpenSearch;
 use crate::front::platform::Platform;
 use crate::http::server::{Handler, Limits, Server};
 use crate::log::{self, Reason};
+use crate::settings::Info;
+use crate::store::peers::Peers;
+use crate::store::{self, Store};
 use crate::transport::frames::Frames;
 use crate::transport::opensearch::Searches;
 use crate::transport::{self, span};
@@ -28,6 +33,9 @@
 /// Beyond the longest deadline, what is left to do is not waited for.
 const LAST_WAIT: Duration = Duration::from_millis(600);
 const LOOK_EVERY: Duration = Duration::from_millis(10);
+/// How long a start waits for the peers of the store.
+const PEERS_WAIT: Duration = Duration::from_millis(2000);
+const KEEP_DIRECTORY_EVERY: Duration = Duration::from_millis(500);
 
 /// Runs an aggregator until SIGTERM or SIGINT, and then to its orderly end.
 ///
@@ -40,25 +48,32 @@
 
 async fn serve(config: &Config, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(|e| e.to_string())?;
-    let core = Core::new(&config.settings, config.seed()).map_err(|why| format!("key settings: {why}"))?;
+    let store = start_store(config, &executor).await?;
+    let info = settle_settings(config, store.as_deref())?;
+    let core = Core::new(&info, config.seed()).map_err(|why| format!("key settings: {why}"))?;
     let driver = Driver::new(core, executor.clone());
-    let caps = &config.settings.caps;
     let limits = transport::Limits {
-        connect: span(caps.connect_timeout_ms.unwrap_or(250.0)),
-        keep_alive: span(caps.keepalive_ms.unwrap_or(30_000.0)),
-        streams: caps.streams_per_conn.unwrap_or(100).max(1) as usize,
-        bundle: config.settings.domain.bundle_max.unwrap_or(1) as usize,
+        connect: span(info.caps.connect_timeout_ms.unwrap_or(250.0)),
+        keep_alive: span(info.caps.keepalive_ms.unwrap_or(30_000.0)),
+        streams: info.caps.streams_per_conn.unwrap_or(100).max(1) as usize,
+        bundle: info.domain.bundle_max.unwrap_or(1) as usize,
         connections: config.store_connections(),
     };
     let stores: Rc<dyn RunStores> = match config.api {
         Api::Platform => Rc::new(Frames::new(driver.clone(), limits)),
         Api::Opensearch => Rc::new(Searches::new(driver.clone(), limits)),
     };
-    let known = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
-    let watch = Rc::new(Watch::new(driver.clone(), config.discovery, known));
-    driver.connect(stores, watch);
-    driver.take_news(News::Cached(config.known.listed()));
+    let mut known = config.known.clone();
+    if known.endpoints.is_empty() {
+        // Nothing is known here: what a peer last knew is a better start than nothing.
+        known = store.as_ref().and_then(|store| last_directory(store)).unwrap_or(known);
+    }
+    driver.connect(stores, directory(config, &driver));
+    driver.take_news(News::Cached(known.listed()));
     executor.spawn(driver.clone().run()).detach();
+    if let Some(store) = store {
+        executor.spawn(keep_directory(store, driver.clone())).detach();
+    }
 
     let listener = TcpListener::bind(config.listen)
         .await
@@ -67,9 +82,7 @@
     let limits = Limits::for_connections(config.client_connections());
     let front: Box<dyn Handler> = match config.api {
         Api::Platform => Box::new(Platform::new(driver.clone())),
-        Api::Opensearch => {
-            Box::new(OpenSearch::new(driver.clone(), config.settings.domain.shards.unwrap_or(1)))
-        }
+        Api::Opensearch => Box::new(OpenSearch::new(driver.clone(), info.domain.shards.unwrap_or(1))),
     };
     let server = Server::new(executor.clone(), front, limits);
     let accepting = executor.spawn(server.clone().accept(listener));
@@ -97,9 +110,79 @@
         }
     };
     future::or(drained, async {
-        Timer::after(span(config.longest_deadline()) + LAST_WAIT).await;
+        Timer::after(span(info.longest_deadline()) + LAST_WAIT).await;
     })
     .await;
     log::line(&format!("counters {}", driver.counters()));
     Ok(())
 }
+
+/// The directory that the configuration names.
+fn directory(config: &Config, driver: &Rc<Driver>) -> Rc<dyn Directory> {
+    let known = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
+    match (&config.dns_sd, config.discovery) {
+        (Some(dns), _) => Rc::new(DnsSd::new(driver.clone(), dns.server, &dns.service, span(dns.refresh_ms))),
+        (None, Some(address)) => Rc::new(Watch::new(driver.clone(), address, known)),
+        (None, None) => unreachable!("a configuration without a directory does not pass its check"),
+    }
+}
+
+/// Starts the replicated store, if it is configured, and waits a moment for what its peers hold.
+async fn start_store(
+    config: &Config,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> Result<Option<Rc<Store>>, String> {
+    let Some(place) = &config.store else { return Ok(None) };
+    let listener = TcpListener::bind(place.listen)
+        .await
+        .map_err(|error| format!("key store.listen: {}: {error}", place.listen))?;
+    let store = Rc::new(Store::new(&config.name));
+    if let Ok(at) = listener.local_addr() {
+        log::line(&format!("store meets peers on {at}"));
+    }
+    let peers = Peers::start(store.clone(), executor.clone(), listener, &place.peers);
+    let settled = async {
+        while peers.settled() < place.peers.len() {
+            Timer::after(LOOK_EVERY).await;
+        }
+    };
+    future::or(settled, async {
+        Timer::after(PEERS_WAIT).await;
+    })
+    .await;
+    Ok(Some(store))
+}
+
+/// The settings of the highest version: this file's or the store's, which gets this file's.
+fn settle_settings(config: &Config, store: Option<&Store>) -> Result<Info, String> {
+    let own = config.settings.as_ref().map(|settings| settings.get());
+    if let (Some(store), Some(place)) = (store, &config.store) {
+        if let Some(own) = own {
+            store.put(store::SETTINGS, place.settings_version, own.to_string());
+        }
+        if let Some(entry) = store.get(store::SETTINGS) {
+            log::line(&format!("settings of version {} from {}", entry.version, entry.origin));
+            return config.settings(&entry.value);
+        }
+    }
+    config.settings(own.ok_or("key settings: is missing, and no peer holds any")?)
+}
+
+fn last_directory(store: &Store) -> Option<List> {
+    serde_json::from_str(&store.get(store::DIRECTORY)?.value).ok()
+}
+
+/// Writes the directory to the store whenever it has changed.
+async fn keep_directory(store: Rc<Store>, driver: Rc<Driver>) {
+    let mut kept = List::default();
+    loop {
+        let list = List::of(&driver.directory());
+        if list != kept && !list.endpoints.is_empty() {
+            if let Ok(text) = serde_json::to_string(&list) {
+                store.put(store::DIRECTORY, driver.now() as u64, text);
+            }
+            kept = list;
+        }
+        Timer::after(KEEP_DIRECTORY_EVERY).await;
+    }
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,129 @@
+//! A small replicated store: versioned entries, held in memory, the same at all peers in the end.
+//!
+//! It holds configuration and the last directory, never live load. Of two entries under one key the one with
+//! the higher version stands, and between equal versions the one of the greater origin, so that all peers
+//! agree in whatever order entries reach them.
+
+pub mod peers;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use async_channel::{Receiver, Sender};
+use serde::{Deserialize, Serialize};
+
+/// The key of the settings object.
+pub const SETTINGS: &str = "settings";
+/// The key of the last directory.
+pub const DIRECTORY: &str = "directory";
+/// Bounds on what peers can make this process hold.
+const MOST_KEYS: usize = 64;
+const MOST_VALUE: usize = 1024 * 1024;
+
+/// An entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its key.
+    pub key: String,
+    /// Its version; the higher stands.
+    pub version: u64,
+    /// Who wrote it.
+    pub origin: String,
+    /// Its value.
+    pub value: String,
+}
+
+impl Entry {
+    fn stands_over(&self, other: &Entry) -> bool {
+        (self.version, &self.origin, &self.value) > (other.version, &other.origin, &other.value)
+    }
+}
+
+/// One peer's copy.
+pub struct Store {
+    origin: String,
+    entries: RefCell<BTreeMap<String, Entry>>,
+    /// Whoever waits for changes: connections to peers.
+    listeners: RefCell<Vec<Sender<()>>>,
+}
+
+impl Store {
+    /// An empty copy; `origin` names this peer.
+    pub fn new(origin: &str) -> Self {
+        Store { origin: origin.to_string(), entries: RefCell::default(), listeners: RefCell::default() }
+    }
+
+    /// Writes an entry; it is passed over where a newer one is known.
+    pub fn put(&self, key: &str, version: u64, value: String) -> bool {
+        self.merge(Entry { key: key.to_string(), version, origin: self.origin.clone(), value })
+    }
+
+    /// Takes an entry in; says whether it is news.
+    pub fn merge(&self, entry: Entry) -> bool {
+        let mut entries = self.entries.borrow_mut();
+        let known = entries.get(&entry.key);
+        let room = known.is_some() || entries.len() < MOST_KEYS;
+        if !room || entry.value.len() > MOST_VALUE || known.is_some_and(|known| !entry.stands_over(known)) {
+            return false;
+        }
+        entries.insert(entry.key.clone(), entry);
+        drop(entries);
+        // One signal stands for any number of changes; a listener that is gone is forgotten.
+        self.listeners.borrow_mut().retain(|listener| {
+            let _ = listener.try_send(());
+            !listener.is_closed()
+        });
+        true
+    }
+
+    /// The entry under a key.
+    pub fn get(&self, key: &str) -> Option<Entry> {
+        self.entries.borrow().get(key).cloned()
+    }
+
+    fn listen(&self) -> Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.listeners.borrow_mut().push(sender);
+        receiver
+    }
+
+    /// The entries that a peer has not been sent in their present form.
+    fn unsent(&self, sent: &BTreeMap<String, Entry>) -> Vec<Entry> {
+        self.entries.borrow().values().filter(|entry| sent.get(&entry.key) != Some(entry)).cloned().collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn copies_agree_in_whatever_order_entries_come() {
+        let entries = [("a", 1, "one"), ("b", 2, "two"), ("c", 2, "three"), ("a", 2, "four")];
+        let entries = entries.map(|(origin, version, value)| Entry {
+            key: "k".into(),
+            version,
+            origin: origin.into(),
+            value: value.into(),
+        });
+        for start in 0..entries.len() {
+            let store = Store::new("x");
+            for at in 0..entries.len() {
+                store.merge(entries[(start + at * 3) % entries.len()].clone());
+            }
+            assert_eq!(store.get("k").unwrap().value, "three", "from {start}");
+            assert!(!store.put("k", 1, "old".into()));
+        }
+    }
+
+    #[test]
+    fn what_peers_can_make_it_hold_is_bounded() {
+        let store = Store::new("x");
+        for key in 0..MOST_KEYS {
+            assert!(store.put(&key.to_string(), 1, String::new()));
+        }
+        assert!(!store.put("one more", 1, String::new()));
+        assert!(store.put("0", 2, String::new()), "known keys still change");
+        assert!(!store.put("0", 3, "v".repeat(MOST_VALUE + 1)));
+    }
+}
--- /dev/null
+++ b/src/store/peers.rs
@@ -0,0 +1,183 @@
+//! Replication: on each connection between two peers, both send what the other has not been sent.
+//!
+//! A line is a JSON value: an entry, `"synced"` after the first round, or `"ping"` so that a silent peer is
+//! noticed. A peer that comes back is dialled again and brought up to date by a first round.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use serde::{Deserialize, Serialize};
+
+use super::{Entry, Store};
+use crate::http::client::within;
+use crate::log::{self, Reason};
+
+const CONNECT: Duration = Duration::from_millis(500);
+const REDIAL: Duration = Duration::from_millis(500);
+const PING_EVERY: Duration = Duration::from_millis(1000);
+const SILENCE: Duration = Duration::from_millis(4000);
+const WRITE: Duration = Duration::from_millis(4000);
+/// The longest line: a value may double in size by its escapes.
+const MOST_LINE: usize = 3 * super::MOST_VALUE;
+/// Connections that peers may hold here.
+const MOST_PEERS: usize = 32;
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Line {
+    Entry(Entry),
+    Synced,
+    Ping,
+}
+
+/// The replication of one store.
+pub struct Peers {
+    store: Rc<Store>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// Peers whose first round has come, or that could not be reached at first.
+    settled: Cell<usize>,
+    accepted: Cell<usize>,
+}
+
+impl Peers {
+    /// Starts replication: accepts peers at a listener and dials those that are listed.
+    pub fn start(
+        store: Rc<Store>,
+        executor: Rc<LocalExecutor<'static>>,
+        listener: TcpListener,
+        peers: &[SocketAddr],
+    ) -> Rc<Self> {
+        let replication = Rc::new(Peers {
+            store,
+            executor: executor.clone(),
+            settled: Cell::new(0),
+            accepted: Cell::new(0),
+        });
+        executor.spawn(replication.clone().accept(listener)).detach();
+        for peer in peers {
+            executor.spawn(replication.clone().dial(*peer)).detach();
+        }
+        replication
+    }
+
+    /// How many of the listed peers have sent all they had, or were out of reach.
+    pub fn settled(&self) -> usize {
+        self.settled.get()
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) if self.accepted.get() >= MOST_PEERS => drop(stream),
+                Ok((stream, peer)) => {
+                    self.accepted.set(self.accepted.get() + 1);
+                    let peers = self.clone();
+                    let task = async move {
+                        peers.talk(stream, peer, &Cell::new(true)).await;
+                        peers.accepted.set(peers.accepted.get() - 1);
+                    };
+                    self.executor.spawn(task).detach();
+                }
+                Err(error) => {
+                    log::line(&format!("store: accept failed: {error}"));
+                    Timer::after(REDIAL).await;
+                }
+            }
+        }
+    }
+
+    async fn dial(self: Rc<Self>, peer: SocketAddr) {
+        let settled = Cell::new(false);
+        loop {
+            if let Ok(stream) = within(CONNECT, TcpStream::connect(peer)).await {
+                self.talk(stream, peer, &settled).await;
+            }
+            self.settle(&settled);
+            Timer::after(REDIAL).await;
+        }
+    }
+
+    fn settle(&self, settled: &Cell<bool>) {
+        if !settled.replace(true) {
+            self.settled.set(self.settled.get() + 1);
+        }
+    }
+
+    async fn talk(&self, stream: TcpStream, peer: SocketAddr, settled: &Cell<bool>) {
+        let read = async { self.read(stream.clone(), settled).await };
+        let write = async { self.write(stream.clone()).await };
+        let reason = match future::or(read, write).await {
+            Ok(reason) => reason,
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => Reason::Silent,
+            Err(error) if error.kind() == io::ErrorKind::InvalidData => Reason::Malformed,
+            Err(_) => Reason::Reset,
+        };
+        log::ended("peer", Some(peer), reason, "");
+    }
+
+    async fn read(&self, mut stream: TcpStream, settled: &Cell<bool>) -> io::Result<Reason> {
+        let mut buffer = Vec::new();
+        let mut bytes = vec![0; 16 * 1024];
+        loop {
+            let count = within(SILENCE, stream.read(&mut bytes)).await?;
+            if count == 0 {
+                return Ok(Reason::PeerClosed);
+            }
+            let searched = buffer.len();
+            buffer.extend_from_slice(&bytes[..count]);
+            if buffer.len() > MOST_LINE {
+                return Ok(Reason::Malformed);
+            }
+            let Some(last) = buffer[searched..].iter().rposition(|byte| *byte == b'\n') else { continue };
+            for line in buffer[..searched + last].split(|byte| *byte == b'\n') {
+                match serde_json::from_slice(line)? {
+                    Line::Entry(entry) => {
+                        self.store.merge(entry);
+                    }
+                    Line::Synced => self.settle(settled),
+                    Line::Ping => {}
+                }
+            }
+            buffer.drain(..=searched + last);
+        }
+    }
+
+    async fn write(&self, mut stream: TcpStream) -> io::Result<Reason> {
+        let changed = self.store.listen();
+        let mut sent: BTreeMap<String, Entry> = BTreeMap::new();
+        let mut synced = false;
+        loop {
+            let mut lines = Vec::new();
+            for entry in self.store.unsent(&sent) {
+                sent.insert(entry.key.clone(), entry.clone());
+                lines.push(Line::Entry(entry));
+            }
+            if !std::mem::replace(&mut synced, true) {
+                lines.push(Line::Synced);
+            } else if lines.is_empty() {
+                lines.push(Line::Ping);
+            }
+            let mut text = Vec::new();
+            for line in &lines {
+                serde_json::to_writer(&mut text, line)?;
+                text.push(b'\n');
+            }
+            within(WRITE, stream.write_all(&text)).await?;
+            let wait = async {
+                let _ = changed.recv().await;
+            };
+            future::or(wait, async {
+                Timer::after(PING_EVERY).await;
+            })
+            .await;
+        }
+    }
+}
--- a/tests/sockets/aggregator.rs
+++ b/tests/sockets/aggregator.rs
@@ -19,6 +19,10 @@
     pub board: Arc<Board>,
     pub address: SocketAddr,
     pub stores: Vec<SocketAddr>,
+    /// Where peers of its store meet it.
+    pub store: Option<String>,
+    /// The lines of its log up to the start.
+    started: Vec<String>,
     child: Child,
     log: mpsc::Receiver<String>,
     config: PathBuf,
@@ -68,6 +72,16 @@
             class("shift-entry", "non_idempotent")]})
 }
 
+fn config(wire: Wire, stores: &[SocketAddr], max_open: usize, board: &Arc<Board>) -> Value {
+    let lines: Vec<_> = stores.iter().enumerate().map(|(n, at)| line(n, *at, "ready", 0)).collect();
+    json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7",
+        "discovery": stand_in::discovery(board).to_string(),
+        "api": match wire { Wire::Frames => "platform", Wire::OpenSearch => "opensearch" },
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"index": 0, "snapshot": true, "endpoints": lines},
+        "settings": settings(stores.len(), max_open)})
+}
+
 impl Aggregator {
     pub fn start(wire: Wire, stores: usize) -> Self {
         Aggregator::with(wire, stores, 1000)
@@ -76,13 +90,16 @@
     pub fn with(wire: Wire, stores: usize, max_open: usize) -> Self {
         let board = Arc::new(Board::default());
         let stores: Vec<_> = (0..stores).map(|store| stand_in::run_store(&board, wire, store)).collect();
-        let lines: Vec<_> = stores.iter().enumerate().map(|(n, at)| line(n, *at, "ready", 0)).collect();
-        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7",
-            "discovery": stand_in::discovery(&board).to_string(),
-            "api": match wire { Wire::Frames => "platform", Wire::OpenSearch => "opensearch" },
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"index": 0, "snapshot": true, "endpoints": lines},
-            "settings": settings(stores.len(), max_open)});
+        let config = config(wire, &stores, max_open, &board);
+        Aggregator::spawn(wire, board, stores, &config)
+    }
+
+    /// One of a configuration that the test has changed.
+    pub fn changed(wire: Wire, stores: usize, change: impl FnOnce(&mut Value, &[SocketAddr])) -> Self {
+        let board = Arc::new(Board::default());
+        let stores: Vec<_> = (0..stores).map(|store| stand_in::run_store(&board, wire, store)).collect();
+        let mut config = config(wire, &stores, 1000, &board);
+        change(&mut config, &stores);
         Aggregator::spawn(wire, board, stores, &config)
     }
 
@@ -101,11 +118,22 @@
                 let _ = sender.send(line);
             }
         });
-        let mut aggregator =
-            Aggregator { wire, board, address: ([127, 0, 0, 1], 0).into(), stores, child, log, config: path };
-        let listening = aggregator.logged(" listens on ");
-        aggregator.address = listening.rsplit(' ').next().unwrap().parse().unwrap();
-        aggregator
+        let mut started: Vec<String> = Vec::new();
+        while !started.last().is_some_and(|line| line.contains(" listens on ")) {
+            started.push(log.recv_timeout(Duration::from_secs(30)).expect("it starts"));
+        }
+        let at = |words: &str| {
+            let line = started.iter().find(|line| line.contains(words))?;
+            line.rsplit(' ').next().map(str::to_string)
+        };
+        let address = at(" listens on ").unwrap().parse().unwrap();
+        let store = at("store meets peers on");
+        Aggregator { wire, board, address, stores, store, started, child, log, config: path }
+    }
+
+    /// Whether the log has held some words by the time it had started.
+    pub fn said(&self, words: &str) -> bool {
+        self.started.iter().any(|line| line.contains(words))
     }
 
     /// The next line of the log that holds some words.
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The rules, over both wires, with run stores and discovery that the tests own.
 
 mod aggregator;
+mod operator;
 mod stand_in;
 
 use std::io::{Read, Write};
--- /dev/null
+++ b/tests/sockets/operator.rs
@@ -0,0 +1,91 @@
+//! What an operator's file sets up beside the API: DNS-SD records as the directory, and the replicated store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde_json::{json, Value};
+
+use crate::aggregator::Aggregator;
+use crate::stand_in::{dns, Board, Wire};
+
+fn instance(store: usize, at: SocketAddr, status: &str) -> (String, u16, Vec<String>) {
+    (format!("s-{store}"), at.port(), vec![format!("group={store}"), format!("status={status}")])
+}
+
+#[test]
+fn dns_sd_records_feed_the_directory() {
+    let zone = Arc::new(Board::default());
+    let server = dns(&zone);
+    let aggregator = Aggregator::changed(Wire::OpenSearch, 2, |config, stores| {
+        zone.change(|state| {
+            state.zone = (0..2).map(|store| instance(store, stores[store], "ready")).collect();
+        });
+        config["discovery"] = Value::Null;
+        config["known"] = json!({});
+        config["dns_sd"] = json!({"server": server.to_string(), "service": "_run-store._tcp.test",
+            "refresh_ms": 100});
+    });
+    let told = || {
+        let looks = zone.read(|state| state.looks);
+        // The second look from now begins after the first was taken in.
+        zone.wait("two more looks", |state| state.looks >= looks + 3);
+    };
+    told();
+    assert!(aggregator.ask("run-lookup", &[0, 1, 2, 3], 8000).whole());
+    for (status, other) in [("draining", 1), ("ready", 0)] {
+        let stores = &aggregator.stores;
+        zone.change(|state| {
+            state.zone = vec![instance(0, stores[0], status), instance(1, stores[1], "ready")];
+            if other == 0 {
+                state.zone.pop();
+            }
+        });
+        told();
+        let before = aggregator.board.read(|state| state.parts.len());
+        assert!(aggregator.ask("run-lookup", &[0, 1, 2, 3], 8000).whole());
+        let parts = aggregator.board.read(|state| state.parts[before..].to_vec());
+        assert!(parts.iter().all(|part| part.0 == other), "{status}: {parts:?}");
+    }
+    // A zone that names nobody is taken for a fault: what was known stands.
+    zone.change(|state| state.zone.clear());
+    aggregator.logged("no run store is listed");
+    assert!(aggregator.ask("run-lookup", &[0], 8000).whole());
+}
+
+fn peer(name: &str, peers: &[String], version: u64, change: impl FnOnce(&mut Value)) -> (Aggregator, String) {
+    let aggregator = Aggregator::changed(Wire::Frames, 1, |config, _| {
+        config["name"] = json!(name);
+        config["store"] = json!({"listen": "127.0.0.1:0", "peers": peers, "settings_version": version});
+        change(config);
+    });
+    let met = aggregator.store.clone().unwrap();
+    (aggregator, met)
+}
+
+#[test]
+fn a_peer_without_settings_or_directory_gets_them_from_the_store() {
+    let (first, met) = peer("first", &[], 3, |_| {});
+    let (second, _) = peer("second", &[met], 0, |config| {
+        config["settings"] = Value::Null;
+        config["known"] = json!({});
+        // No discovery answers here: all that is known came from the peer.
+        config["discovery"] = json!("127.0.0.1:9");
+    });
+    assert!(second.said("settings of version 3 from first"));
+    assert!(second.ask("run-lookup", &[0], 8000).whole());
+    assert_eq!(
+        first.board.read(|state| state.parts.len()),
+        1,
+        "served by the run store that the first peer knew"
+    );
+}
+
+#[test]
+fn a_peer_that_returns_catches_up_with_the_highest_version() {
+    let (old, met_old) = peer("old", &[], 1, |_| {});
+    let (new, met_new) = peer("new", &[met_old], 2, |_| {});
+    assert!(new.said("settings of version 2 from new"));
+    drop(old);
+    let (back, _) = peer("old", &[met_new], 1, |_| {});
+    assert!(back.said("settings of version 2 from new"));
+}
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -51,6 +51,10 @@
     pub given_up: Vec<usize>,
     /// Connections that each run store has accepted.
     pub connections: BTreeMap<usize, usize>,
+    /// The run stores that DNS names: instance, port, text.
+    pub zone: Vec<(String, u16, Vec<String>)>,
+    /// How often DNS was asked for the list.
+    pub looks: usize,
     /// Versions of the list, in order.
     lists: Vec<Value>,
     /// The version that discovery has told last.
@@ -253,3 +257,52 @@
         }
     })
 }
+
+/// Starts a DNS server for `_run-store._tcp.test` over datagrams; every host is 127.0.0.1.
+pub fn dns(board: &Arc<Board>) -> SocketAddr {
+    let board = board.clone();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut bytes = [0; 512];
+        while let Ok((count, peer)) = socket.recv_from(&mut bytes) {
+            let question = &bytes[12..count];
+            let (name, kind) = question.split_at(question.len() - 4);
+            let first = String::from_utf8_lossy(&name[1..1 + usize::from(name[0])]).into_owned();
+            let zone = board.read(|state| state.zone.clone());
+            let label = |text: &str| [&[text.len() as u8], text.as_bytes()].concat();
+            let answers: Vec<Vec<u8>> = match kind[1] {
+                12 => {
+                    board.change(|state| state.looks += 1);
+                    zone.iter().map(|(instance, ..)| [label(instance), vec![0xc0, 12]].concat()).collect()
+                }
+                1 => vec![vec![127, 0, 0, 1]],
+                33 => zone
+                    .iter()
+                    .filter(|(instance, ..)| *instance == first)
+                    .map(|(instance, port, _)| {
+                        let host = [label(&format!("host-{instance}")), label("test"), vec![0]].concat();
+                        [vec![0, 0, 0, 0], port.to_be_bytes().to_vec(), host].concat()
+                    })
+                    .collect(),
+                16 => zone
+                    .iter()
+                    .filter(|(instance, ..)| *instance == first)
+                    .map(|(_, _, texts)| texts.iter().flat_map(|text| label(text)).collect())
+                    .collect(),
+                _ => Vec::new(),
+            };
+            let mut response = bytes[..count].to_vec();
+            response[2] |= 0x84;
+            response[7] = answers.len() as u8;
+            for data in answers {
+                response.extend_from_slice(&[0xc0, 12, 0, kind[1], 0, 1, 0, 0, 0, 1]);
+                response.extend_from_slice(&(data.len() as u16).to_be_bytes());
+                response.extend_from_slice(&data);
+            }
+            // A client that is gone is no matter of the stand-in's.
+            let _ = socket.send_to(&response, peer);
+        }
+    });
+    address
+}
