Lose no query when connections run out, and refuse ids and shards that cannot be kept apart

Checked by reading: beyond an eighth over the limit on client connections, accepted ones were dropped unanswered (src/http/server.rs, welcome). A request that is written on an accepted connection counts as taken, so each such drop is a lost query. Now an idle connection goes first, then up to an eighth more get a 503 with Retry-After, and what is beyond waits in the listener's queue. Also: a platform query whose X-Request-ID is still held gets 409, as part ids on the wire would meet; a shard that does not exist gets 400, as its part would reach run stores that do not hold it; and queries that the core ends by itself carry the same advice as those that the module ends, where coming back is safe.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -4,17 +4,13 @@
 use super::{Ask, Core, Order, QueryNo, Verdict};
 use crate::api::{ClassIndex, Event, Millis, NewPart, NewQuery, PartId, Shard, TenantIndex};
 
-/// Advice to a client that met the limit, of its class's aim.
-const WAIT_OF_AIM: f64 = 0.25;
-
 impl Core {
     pub(super) fn admit(&mut self, now: Millis, no: QueryNo, class: usize, deadline: Millis, ask: Ask) {
         // At the limit a query is turned away before the router hears of it, so that what is held
         // stays bounded whatever comes in. Nothing of it has run: a refusal is safe.
         if self.ledger.open() >= self.max_open || deadline <= now {
             self.counters.turned_away += 1;
-            let aim = self.settings.classes[class].aim;
-            let retry_after = (aim * WAIT_OF_AIM).min(self.settings.max_retry_after);
+            let retry_after = self.advice(class);
             self.orders.push_back(Order::Final { query: no, verdict: Verdict::Refused { retry_after } });
             return;
         }
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -6,6 +6,8 @@
 
 /// Sums of weights may fall short by this much.
 const SHARE_SLACK: f64 = 0.0001;
+/// Advice to a client whose query this core ends by itself, of its class's aim.
+const WAIT_OF_AIM: f64 = 0.25;
 
 impl Core {
     pub(super) fn answer(&mut self, id: &QueryId, whole: bool) {
@@ -21,10 +23,22 @@
         if enough && (whole || query.partial) {
             self.close(no, Verdict::Served { whole, pieces, parts });
         } else {
-            self.close(no, Verdict::Failed { retry_after: 0.0 });
+            let verdict = self.failed(query.class);
+            self.close(no, verdict);
         }
     }
 
+    /// How long a client should stay away.
+    pub(super) fn advice(&self, class: usize) -> Millis {
+        (self.settings.classes[class].aim * WAIT_OF_AIM).min(self.settings.max_retry_after)
+    }
+
+    /// A failure; only clients of what is safe to repeat are asked back.
+    fn failed(&self, class: usize) -> Verdict {
+        let safe = self.settings.classes[class].repeat == Repeat::Safe;
+        Verdict::Failed { retry_after: if safe { self.advice(class) } else { 0.0 } }
+    }
+
     pub(super) fn end(&mut self, id: &QueryId, verdict: Verdict) {
         if let Some(no) = self.ledger.numbers.get(id).copied() {
             self.close(no, verdict);
@@ -37,7 +51,7 @@
         // A refusal says that trying again is harmless: never where an unsafe part may have run.
         let verdict = match verdict {
             Verdict::Refused { .. } if unsafe_class && self.ledger.may_have_run(query) => {
-                Verdict::Failed { retry_after: 0.0 }
+                self.failed(query.class)
             }
             verdict => verdict,
         };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -225,6 +225,8 @@
     deadlines: Vec<Millis>,
     settings: Settings,
     max_open: usize,
+    /// How many shards there are, if that is known.
+    shards: Option<u32>,
     probe_timeout: Millis,
     ledger: Ledger,
     /// Events that wait for the next step.
@@ -258,6 +260,7 @@
                 .collect(),
             settings,
             max_open: info.caps.max_open.unwrap_or(DEFAULT_MAX_OPEN) as usize,
+            shards: info.domain.shards,
             probe_timeout: info.caps.connect_timeout_ms.unwrap_or(DEFAULT_CONNECT_TIMEOUT),
             ledger: Ledger::default(),
             inbox: Vec::new(),
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -1,10 +1,12 @@
 //! The platform's own protocol: a thin translation between HTTP requests and the core's types.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::drive::Driver;
+use crate::core::drive::{Driver, Pending};
 use crate::core::{Ask, AskPart, NotTaken, Verdict};
 use crate::http::parse::{Bad, Message};
 use crate::http::server::{Handler, Local};
@@ -47,12 +49,39 @@
 /// The platform's front.
 pub struct Platform {
     driver: Rc<Driver>,
+    /// Ids of queries that are held: part ids on the wire are made from them and must not meet.
+    held: Rc<RefCell<HashSet<String>>>,
+}
+
+/// An id that is held, until this is dropped.
+struct Held {
+    id: String,
+    all: Rc<RefCell<HashSet<String>>>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.all.borrow_mut().remove(&self.id);
+    }
 }
 
 impl Platform {
     /// A front before a driver.
     pub fn new(driver: Rc<Driver>) -> Self {
-        Platform { driver }
+        Platform { driver, held: Rc::default() }
+    }
+
+    fn query(&self, request: &Message, path: &str) -> Result<(Held, Pending), Response> {
+        let ask = read(request, path).map_err(|why| self.refuse(400, &why))?;
+        if !self.held.borrow_mut().insert(ask.id.clone()) {
+            return Err(self.refuse(409, "a query of this X-Request-ID is being answered"));
+        }
+        let held = Held { id: ask.id.clone(), all: self.held.clone() };
+        match self.driver.ask(ask) {
+            Ok(pending) => Ok((held, pending)),
+            Err(NotTaken::UnknownClass) => Err(self.refuse(404, "no such class")),
+            Err(NotTaken::Malformed(why)) => Err(self.refuse(400, &why)),
+        }
     }
 
     fn refuse(&self, status: u16, why: &str) -> Response {
@@ -67,10 +96,15 @@
         let response = match (request.start.0.as_str(), path) {
             ("GET", "/healthz") => Response::text(200, "ready"),
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
-            ("POST", _) => match read(&request, path).map(|ask| self.driver.ask(ask)) {
-                Ok(Ok(pending)) => return Box::pin(async move { render(&pending.verdict().await) }),
-                Ok(Err(NotTaken::UnknownClass)) => self.refuse(404, "no such class"),
-                Ok(Err(NotTaken::Malformed(why))) | Err(why) => self.refuse(400, &why),
+            ("POST", _) => match self.query(&request, path) {
+                Ok((held, pending)) => {
+                    return Box::pin(async move {
+                        let response = render(&pending.verdict().await);
+                        drop(held);
+                        response
+                    })
+                }
+                Err(response) => response,
             },
             _ => self.refuse(405, "queries are POST requests").with("Allow", "POST"),
         };
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -36,7 +36,7 @@
 /// How long things may take, and how many there may be.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
-    /// Connections at once.
+    /// Connections that are served at once. An eighth more is borne, to be told that there is no room.
     pub connections: usize,
     /// Idle time between requests.
     pub idle: Duration,
@@ -70,6 +70,8 @@
     draining: Cell<bool>,
     /// Connections that stand idle, longest first, and how to close each.
     idle: RefCell<BTreeMap<u64, Sender<Reason>>>,
+    /// Signalled when a connection has ended.
+    ended: (Sender<()>, Receiver<()>),
 }
 
 impl Server {
@@ -83,6 +85,7 @@
             last: Cell::new(0),
             draining: Cell::new(false),
             idle: RefCell::default(),
+            ended: async_channel::bounded(1),
         })
     }
 
@@ -105,7 +108,13 @@
 
     /// Accepts connections for good.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let most = self.limits.connections + self.limits.connections / 8;
         loop {
+            // An accepted connection that is dropped unanswered would be a lost query. What is over the
+            // limit waits in the listener's queue instead; refusals are brief, so room comes soon.
+            while self.open.get() >= most {
+                let _ = self.ended.1.recv().await;
+            }
             match listener.accept().await {
                 Ok((stream, peer)) => self.welcome(stream, peer),
                 // No descriptor is left: connections wait in the queue until one is.
@@ -118,34 +127,26 @@
         }
     }
 
-    fn close_longest_idle(&self) {
+    /// Makes room; says whether a connection stood idle.
+    fn close_longest_idle(&self) -> bool {
         let longest = self.idle.borrow_mut().pop_first();
-        if let Some((_, close)) = longest {
-            let _ = close.try_send(Reason::Full);
-        }
+        longest.is_some_and(|(_, close)| close.try_send(Reason::Full).is_ok())
     }
 
     fn welcome(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
-        let full = self.open.get() >= self.limits.connections;
-        if full {
-            self.close_longest_idle();
-        }
+        let refused = self.open.get() >= self.limits.connections && !self.close_longest_idle();
         self.open.set(self.open.get() + 1);
         let server = self.clone();
         let task = async move {
             let mut connection = Connection { server: &server, stream, requests: 0 };
-            // A little over the limit is borne, so that a refusal can be told.
-            let reason =
-                if full && server.open.get() > server.limits.connections + server.limits.connections / 8 {
-                    Reason::Full
-                } else if full && server.idle.borrow().is_empty() {
-                    connection.refuse().await
-                } else {
-                    connection.serve().await.unwrap_or(Reason::Reset)
-                };
+            let reason = match refused {
+                true => connection.refuse().await,
+                false => connection.serve().await.unwrap_or(Reason::Reset),
+            };
             let requests = connection.requests;
             drop(connection);
             server.open.set(server.open.get() - 1);
+            let _ = server.ended.0.try_send(());
             log::ended("client", Some(peer), reason, format_args!("requests={requests}"));
         };
         self.executor.spawn(task).detach();
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -9,7 +9,7 @@
     let class = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 1000.0, "deadline_ms": 4000.0, "repeat": repeat});
     let info: Info = serde_json::from_value(json!({
         "caps": {"max_attempts": 3, "max_open": max_open, "max_retry_after_ms": 2000.0, "may_cancel": true},
-        "domain": {"cells": 1, "width": 1, "least_share": [0.4, 1.0], "complete_from": [1.0, 1.0]},
+        "domain": {"cells": 1, "width": 1, "shards": 9, "least_share": [0.4, 1.0], "complete_from": [1.0, 1.0]},
         "request_classes": [class("search", "read_like"), class("entry", "non_idempotent")],
         "tick_ms": 5.0,
     }))
@@ -167,7 +167,9 @@
     heavy.parts[1].weight = 9.0;
     let mut broken = ask("search", 2);
     broken.parts[1].weight = f64::NAN;
-    for ask in [ask("search", 0), twice, heavy, broken] {
+    let mut beyond = ask("search", 2);
+    beyond.parts[1].shard = 9;
+    for ask in [ask("search", 0), twice, heavy, broken, beyond] {
         assert!(matches!(core.take_in(0.0, ask), Err(NotTaken::Malformed(_))));
     }
     assert_eq!(core.take_in(0.0, ask("none", 1)), Err(NotTaken::UnknownClass));
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -278,6 +278,50 @@
     assert!(line.contains("code=peer_closed requests=2"), "{line}");
 }
 
+#[test]
+fn without_room_for_a_connection_an_idle_one_goes_or_the_new_one_is_refused() {
+    for wire in WIRES {
+        let aggregator = Aggregator::changed(wire, 1, |config, _| config["limits"]["sockets"] = json!(128));
+        aggregator.board.act(0, Act::Silent);
+        // 128 descriptors leave room for 42 clients.
+        let mut idle = aggregator.connect();
+        idle.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+        assert_eq!(answer(&mut idle).status, 200);
+        let held: Vec<_> = (0..42).map(|n| aggregator.begin("run-lookup", &[n % 4], 9000)).collect();
+        let line = aggregator.logged("end client");
+        assert!(line.contains("code=full requests=1"), "{wire:?}: {line}");
+        let refused = aggregator.ask("run-lookup", &[0], 9000);
+        assert_eq!(refused.status, 503, "{wire:?}: {refused:?}");
+        assert!(refused.head.contains("\r\nretry-after: "), "{wire:?}: {refused:?}");
+        drop(held);
+        aggregator.logged("code=client_gone");
+        aggregator.board.act(0, Act::Serve);
+        assert!(aggregator.ask("run-lookup", &[0], 9000).whole(), "{wire:?}: there is room again");
+    }
+}
+
+#[test]
+fn an_id_that_is_held_is_not_taken_twice() {
+    let aggregator = Aggregator::start(Wire::Frames, 1);
+    aggregator.board.act(0, Act::Silent);
+    let body = json!({"slices": [{"slice": 0, "mass": 1.0}]}).to_string();
+    let head = format!(
+        "POST /run-lookup HTTP/1.1\r\nX-Request-ID: same\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut first = aggregator.connect();
+    first.write_all(head.as_bytes()).unwrap();
+    aggregator.board.wait("the first", |state| state.parts.len() == 1);
+    let mut second = aggregator.connect();
+    second.write_all(head.as_bytes()).unwrap();
+    assert_eq!(answer(&mut second).status, 409);
+    drop(first);
+    aggregator.logged("code=client_gone");
+    aggregator.board.act(0, Act::Serve);
+    second.write_all(head.as_bytes()).unwrap();
+    assert_eq!(answer(&mut second).status, 200);
+}
+
 #[test]
 fn bad_configuration_names_the_key_and_exits_with_an_error() {
     let path = std::env::temp_dir().join(format!("ironpaddle-bad-{}.json", std::process::id()));
