Answer _count, send no body to HEAD, and bound what run stores' answers may hold

An answer may now have 512 KiB instead of 4 MiB, in frames and searches alike: with 185 queries and parts held, the old bound alone could have passed 192 MB. HEAD got a body that a client would take for the start of its next answer. Each connection to discovery that ends leaves its line, and so does a peer's over the limit.

--- a/src/directory/watch.rs
+++ b/src/directory/watch.rs
@@ -59,6 +59,15 @@
         self.driver.take_news(News::Broken);
     }
 
+    fn ended(&self, reason: Reason, why: &str) {
+        log::ended(
+            "discovery",
+            Some(self.address),
+            reason,
+            format_args!("index={:?} {why}", self.index.get()),
+        );
+    }
+
     /// Follows the list until a call fails.
     async fn follow(&self, client: &mut Option<Client>) -> io::Error {
         // The first call does not wait: the core is to know at once that it is up to date.
@@ -69,6 +78,7 @@
             // A kept connection may have been closed meanwhile, which is no failure of the service. A new
             // one keeps the watch unbroken. A call that took its whole time is not made twice.
             if kept && answer.as_ref().is_err_and(|error| error.kind() != io::ErrorKind::TimedOut) {
+                self.ended(Reason::PeerClosed, "the kept connection was closed");
                 *client = None;
                 answer = self.call(client, wait).await;
             }
@@ -104,7 +114,11 @@
         }
         let list = serde_json::from_slice(&answer.body)
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error.to_string()))?;
-        *client = answer.keep_alive.then_some(open);
+        if answer.keep_alive {
+            *client = Some(open);
+        } else {
+            self.ended(Reason::Done, "one call was all that it was for");
+        }
         Ok(list)
     }
 }
--- a/src/front/opensearch/merge.rs
+++ b/src/front/opensearch/merge.rs
@@ -92,6 +92,13 @@
     hits: Vec<Box<RawValue>>,
 }
 
+impl Merged {
+    /// How many hits there are in all.
+    pub fn count(&self) -> u64 {
+        self.total.as_ref().map_or(0, |total| total.value)
+    }
+}
+
 /// Merges the answers of shards; hits from `from` on, `size` of them.
 ///
 /// # Errors
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -1,4 +1,4 @@
-//! The OpenSearch-style front: `POST /{index}/_search`, where an index is a class.
+//! The OpenSearch-style front: `POST /{index}/_search` and `_count`, where an index is a class.
 //!
 //! Answers carry `took`, `timed_out`, `_shards` and `hits`; errors carry `error.type`, `reason`, `root_cause` and
 //! `status`. What is not spoken is refused by name.
@@ -19,7 +19,7 @@
 use crate::http::server::{Handler, Local};
 use crate::http::write::Response;
 use crate::transport::opensearch::carry;
-use search::{Refusal, Search};
+use search::{Refusal, Search, Verb};
 
 /// The longest opaque id or tenant that is taken in.
 const MOST_NAME: usize = 128;
@@ -67,8 +67,7 @@
             retried: false,
             partial: search.partial,
             parts: shards.into_iter().map(|shard| AskPart { shard, weight, hint: None, key: None }).collect(),
-            // One shard's part of a page may be all of it: each is asked for what comes before the page too.
-            text: carry(search.from + search.size, &request.body).into(),
+            text: carry(&search.for_shards(), &request.body).into(),
         })
     }
 }
@@ -172,6 +171,10 @@
     if !failures.is_empty() {
         counts["failures"] = failures.into();
     }
+    if search.verb == Verb::Count {
+        let body = json!({"count": merged.count(), "_shards": counts});
+        return Response::new(200, "application/json; charset=UTF-8", body.to_string());
+    }
     #[derive(serde::Serialize)]
     struct Answer {
         took: u64,
--- a/src/front/opensearch/search.rs
+++ b/src/front/opensearch/search.rs
@@ -33,9 +33,20 @@
     "post_filter",
 ];
 
+/// What is asked of the shards.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verb {
+    /// `_search`: hits.
+    Search,
+    /// `_count`: how many there are.
+    Count,
+}
+
 /// A search.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Search {
+    /// What is asked.
+    pub verb: Verb,
     /// The index, which names the class.
     pub index: String,
     /// The shards it asks, if it names any.
@@ -78,11 +89,14 @@
     /// Says what is malformed or not spoken.
     pub fn read(request: &Message, shards: u32) -> Result<Self, Refusal> {
         let target = Target::read(&request.start.1).ok_or_else(|| illegal("the target is malformed"))?;
-        let index = match target.path.as_slice() {
-            [index, verb] if verb == "_search" => index.clone(),
+        let (index, verb) = match target.path.as_slice() {
+            [index, verb] if verb == "_search" => (index.clone(), Verb::Search),
+            [index, verb] if verb == "_count" => (index.clone(), Verb::Count),
             _ => {
-                let why =
-                    format!("no handler found for uri [{}]; spoken is /{{index}}/_search", request.start.1);
+                let why = format!(
+                    "no handler found for uri [{}]; spoken are /{{index}}/_search and /{{index}}/_count",
+                    request.start.1
+                );
                 return Err(Refusal(404, "illegal_argument_exception", why));
             }
         };
@@ -90,6 +104,7 @@
             return Err(illegal("a search names one index; lists and patterns are not spoken"));
         }
         let mut search = Search {
+            verb,
             index,
             shards: None,
             timeout: None,
@@ -117,6 +132,11 @@
         if let Some(key) = body.others.keys().find(|key| !PASSED_ON.contains(&key.as_str())) {
             return Err(parsing(format!("key [{key}] is not spoken over shards asked one by one")));
         }
+        let paged =
+            body.size.is_some() || body.from.is_some() || body.timeout.is_some() || body.sort.is_some();
+        if self.verb == Verb::Count && (paged || body.others.keys().any(|key| key != "query")) {
+            return Err(parsing("a count has no key but [query]".into()));
+        }
         self.size = body.size.unwrap_or(self.size);
         self.from = body.from.unwrap_or(self.from);
         if let Some(text) = body.timeout {
@@ -131,6 +151,9 @@
     fn parameter(&mut self, name: &str, value: &str, shards: u32) -> Result<(), Refusal> {
         let number = || value.parse().map_err(|_| illegal(format!("[{name}] must be a whole number")));
         match name {
+            "size" | "from" | "timeout" | "allow_partial_search_results" if self.verb == Verb::Count => {
+                return Err(illegal(format!("parameter [{name}] is not spoken for a count")));
+            }
             "size" => self.size = number()?,
             "from" => self.from = number()?,
             "timeout" => {
@@ -158,6 +181,15 @@
         Ok(())
     }
 
+    /// The parameters with which each shard is asked.
+    pub fn for_shards(&self) -> String {
+        match self.verb {
+            // One shard's part of a page may be all of it: each is asked for what comes before the page too.
+            Verb::Search => format!("from=0&size={}", self.from + self.size),
+            Verb::Count => "size=0&track_total_hits=true".into(),
+        }
+    }
+
     /// Routing and preference both narrow the shards: those that all of them name remain.
     fn narrow(&mut self, to: impl Iterator<Item = u32>) {
         let mut to: Vec<u32> = to.collect();
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -176,20 +176,20 @@
                 Next::End(reason) => return Ok(reason),
                 Next::Bad(bad) => {
                     let response = self.server.handler.bad(bad);
-                    self.write(&response.bytes(false)).await?;
+                    self.write(&response.bytes(false, true)).await?;
                     self.linger().await;
                     return Ok(Reason::Malformed);
                 }
             };
             self.requests += 1;
-            let keep_alive = request.keep_alive;
+            let (keep_alive, body) = (request.keep_alive, request.start.0 != "HEAD");
             let answer = self.server.handler.handle(request);
             let gone = watch(&mut self.stream, &mut parser);
             let Some(response) = future::or(async { Some(answer.await) }, gone).await else {
                 return Ok(Reason::ClientGone);
             };
             let keep_alive = keep_alive && !self.server.draining.get();
-            if !self.write(&response.bytes(keep_alive)).await? {
+            if !self.write(&response.bytes(keep_alive, body)).await? {
                 return Ok(Reason::TooSlow);
             }
             if !keep_alive {
@@ -201,7 +201,7 @@
 
     async fn refuse(&mut self) -> Reason {
         let response = self.server.handler.full();
-        let _ = self.write(&response.bytes(false)).await;
+        let _ = self.write(&response.bytes(false, true)).await;
         self.linger().await;
         Reason::Full
     }
--- a/src/http/write.rs
+++ b/src/http/write.rs
@@ -39,8 +39,8 @@
         }
     }
 
-    /// The bytes on the wire.
-    pub fn bytes(&self, keep_alive: bool) -> Vec<u8> {
+    /// The bytes on the wire; a `HEAD` request gets no body, as the client would take it for the next answer.
+    pub fn bytes(&self, keep_alive: bool, body: bool) -> Vec<u8> {
         let mut head = format!("HTTP/1.1 {} {}\r\n", self.status, phrase(self.status));
         for (name, value) in &self.headers {
             let _ = write!(head, "{name}: {value}\r\n");
@@ -51,7 +51,9 @@
         }
         head.push_str("\r\n");
         let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(&self.body);
+        if body {
+            bytes.extend_from_slice(&self.body);
+        }
         bytes
     }
 }
--- a/src/service.rs
+++ b/src/service.rs
@@ -68,7 +68,7 @@
         // Nothing is known here: what a peer last knew is a better start than nothing.
         known = store.as_ref().and_then(|store| last_directory(store)).unwrap_or(known);
     }
-    driver.connect(stores, directory(config, &driver));
+    driver.connect(stores, directory(config, &driver)?);
     driver.take_news(News::Cached(known.listed()));
     executor.spawn(driver.clone().run()).detach();
     if let Some(store) = store {
@@ -118,13 +118,14 @@
 }
 
 /// The directory that the configuration names.
-fn directory(config: &Config, driver: &Rc<Driver>) -> Rc<dyn Directory> {
-    let known = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
-    match (&config.dns_sd, config.discovery) {
-        (Some(dns), _) => Rc::new(DnsSd::new(driver.clone(), dns.server, &dns.service, span(dns.refresh_ms))),
-        (None, Some(address)) => Rc::new(Watch::new(driver.clone(), address, known)),
-        (None, None) => unreachable!("a configuration without a directory does not pass its check"),
+fn directory(config: &Config, driver: &Rc<Driver>) -> Result<Rc<dyn Directory>, String> {
+    if let Some(dns) = &config.dns_sd {
+        let refresh = span(dns.refresh_ms);
+        return Ok(Rc::new(DnsSd::new(driver.clone(), dns.server, &dns.service, refresh)));
     }
+    let address = config.discovery.ok_or("key discovery: is missing, and so is dns_sd")?;
+    let known = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
+    Ok(Rc::new(Watch::new(driver.clone(), address, known)))
 }
 
 /// Starts the replicated store, if it is configured, and waits a moment for what its peers hold.
--- a/src/store/peers.rs
+++ b/src/store/peers.rs
@@ -76,7 +76,9 @@
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) if self.accepted.get() >= MOST_PEERS => drop(stream),
+                Ok((_, peer)) if self.accepted.get() >= MOST_PEERS => {
+                    log::ended("peer", Some(peer), Reason::Full, "");
+                }
                 Ok((stream, peer)) => {
                     self.accepted.set(self.accepted.get() + 1);
                     let peers = self.clone();
--- a/src/transport/frames/codec.rs
+++ b/src/transport/frames/codec.rs
@@ -4,8 +4,9 @@
 
 use crate::api::LoadReport;
 
-/// The most bytes of a frame from a run store.
-pub const MOST_FRAME: usize = 4 * 1024 * 1024;
+/// The most bytes of a frame from a run store. Every part that is held may have one: all together stay within
+/// the memory.
+pub const MOST_FRAME: usize = 512 * 1024;
 
 /// A frame from a run store.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -26,11 +26,13 @@
 
 /// Connections to one run store at once; more searches wait for one of these.
 const MOST_AT_ONE: usize = 32;
-const MOST_ANSWER: usize = 4 * 1024 * 1024;
+/// The most bytes of an answer. Every part that is held may have one: all together stay within the memory.
+const MOST_ANSWER: usize = 512 * 1024;
 
-/// What a part of a search carries: how many hits each shard is asked for, and the client's body, unchanged.
-pub fn carry(hits: usize, body: &[u8]) -> Vec<u8> {
-    let mut text = format!("{hits}\n").into_bytes();
+/// What a part of a search carries: parameters for its shard, and the client's body, unchanged. The parameters
+/// stand over the body's own keys, as this API has it.
+pub fn carry(parameters: &str, body: &[u8]) -> Vec<u8> {
+    let mut text = format!("{parameters}\n").into_bytes();
     text.extend_from_slice(body);
     text
 }
@@ -230,10 +232,10 @@
             Job::Probe(_) => write::request("GET", "/", &host, &[], &[]),
             Job::Search(call) => {
                 let cut = call.text.iter().position(|byte| *byte == b'\n').unwrap_or(0);
-                let hits = String::from_utf8_lossy(&call.text[..cut]);
+                let parameters = String::from_utf8_lossy(&call.text[..cut]);
                 let wait = (call.until - self.driver.now()).max(1.0) as u64;
                 let target = format!(
-                    "/{}/_search?preference=_shards:{}&from=0&size={hits}&timeout={wait}ms\
+                    "/{}/_search?preference=_shards:{}&{parameters}&timeout={wait}ms\
                      &allow_partial_search_results=false",
                     call.class, call.shard
                 );
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -261,6 +261,21 @@
     assert_eq!(json["hits"]["total"], json!({"value": 4, "relation": "eq"}));
     assert_eq!(json["hits"]["hits"].as_array().unwrap().len(), 3);
     assert!(json["took"].is_u64());
+    stream.write_all(b"GET /run-search/_count?routing=run-7 HTTP/1.1\r\n\r\n").unwrap();
+    let json = aggregator::answer(&mut stream).json();
+    assert_eq!((&json["count"], &json["_shards"]["total"]), (&json!(1), &json!(1)));
+    stream.write_all(b"GET /run-search/_count?size=3 HTTP/1.1\r\n\r\n").unwrap();
+    assert_eq!(aggregator::answer(&mut stream).status, 400);
+}
+
+#[test]
+fn a_head_request_gets_no_body() {
+    let aggregator = Aggregator::start(Wire::Frames, 1);
+    let mut stream = aggregator.connect();
+    stream.write_all(b"HEAD /x HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 405 ") && text.ends_with("\r\n\r\n"), "{text}");
 }
 
 #[test]
