--- a/src/api.rs
+++ b/src/api.rs
@@ -290,6 +290,8 @@
     pub tenant: Option<TenantIndex>,
     /// What it is about, where queries carry keys.
     pub key: Option<Arc<str>>,
+    /// When it came in; a step may follow some time later.
+    pub arrived: Millis,
     /// When its client gives up.
     pub deadline: Millis,
     /// The number of parts of its first step.
--- a/src/bin/ironpaddle-simhost/main.rs
+++ b/src/bin/ironpaddle-simhost/main.rs
@@ -43,7 +43,7 @@
         Ok(())
     }
 
-    fn take(&mut self, event: WireEvent) -> Result<(), String> {
+    fn take(&mut self, now: f64, event: WireEvent) -> Result<(), String> {
         match event {
             WireEvent::Hello { instance, entropy, info } => {
                 let router = Router::new(info.settings(), entropy)
@@ -65,7 +65,7 @@
             }
             WireEvent::Accept(accept) => {
                 let instance = self.instance(accept.instance)?;
-                let event = accept.event(&instance.names).map_err(|e| format!("ACCEPT: {e}"))?;
+                let event = accept.event(&instance.names, now).map_err(|e| format!("ACCEPT: {e}"))?;
                 instance.inbox.push(event);
                 Ok(())
             }
@@ -113,7 +113,7 @@
 
     fn batch(&mut self, batch: Batch) -> Result<Reply, String> {
         for event in batch.events {
-            self.take(event)?;
+            self.take(batch.now_ms, event)?;
         }
         let mut cmds = Vec::new();
         for (&number, instance) in &mut self.instances {
--- a/src/bin/ironpaddle-simhost/wire.rs
+++ b/src/bin/ironpaddle-simhost/wire.rs
@@ -283,7 +283,7 @@
 
 impl Accept {
     /// A query or a part, as `slab` tells; an error names what is unknown.
-    pub fn event(&self, names: &Names) -> Result<api::Event, String> {
+    pub fn event(&self, names: &Names, now: api::Millis) -> Result<api::Event, String> {
         let key = self.partition_key.as_deref().map(Arc::from);
         if self.slab >= 0.0 {
             return Ok(api::Event::Part(api::NewPart {
@@ -309,6 +309,7 @@
             class: api::ClassIndex(*class),
             tenant: tenant.map(api::TenantIndex),
             key,
+            arrived: now,
             deadline: self.valid_until_ms,
             parts: self.amount.unwrap_or(0.0) as u32,
             client_retry: self.repeat.unwrap_or(false),
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -22,6 +22,7 @@
             class: ClassIndex(class),
             tenant: tenant.map(TenantIndex),
             key: None,
+            arrived: now,
             deadline,
             parts: ask.parts.len() as u32,
             client_retry: ask.retried,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -325,9 +325,10 @@
             }
             *bucket = ((filled - 1.0).max(0.0), self.now);
         }
-        let NewQuery { id, number, deadline, .. } = new;
+        let NewQuery { id, number, deadline, arrived, .. } = new;
         self.numbers.insert(id.clone(), number);
-        let query = Query { id, class, accepted: self.now, deadline, worth, ..Query::default() };
+        let accepted = arrived.min(self.now);
+        let query = Query { id, class, accepted, deadline, worth, ..Query::default() };
         self.queries.insert(number, query);
         self.fresh.push(number);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -66,6 +66,8 @@
         class: ClassIndex(0),
         tenant: None,
         key: None,
+        // It came in with the step that takes it, which is before its deadline.
+        arrived: deadline,
         deadline,
         parts,
         client_retry: false,
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -57,3 +57,19 @@
     run(&mut router, 555.0, 745.0);
     assert_eq!(sends(&router.step(750.0, query(3, 1, 3750.0)))[0].1, "b");
 }
+
+#[test]
+fn a_partial_answer_leaves_at_its_moment_counted_from_when_the_query_came_in() {
+    let mut s = settings(Repeat::Safe);
+    s.classes[0].least_share = 0.4;
+    let mut router = start(s, &["a"]);
+    let mut events = query(1, 2, 4000.0);
+    if let Event::Query(query) = &mut events[0] {
+        query.arrived = 100.0;
+    }
+    router.step(104.0, events);
+    router.step(300.0, vec![ended("q1.0", 0, "a", Outcome::Completed, 196.0)]);
+    // Two sweeps of 10 ms before the aim of 1000 ms.
+    assert!(finals(&router.step(1079.0, vec![Event::Wake])).is_empty());
+    assert_eq!(finals(&router.step(1080.0, vec![Event::Wake])), ["partial q1"]);
+}
