Give every setting its default in one place and name the faulty limit

Defaults of the settings object stood in the core, the service and the adapter's reader; they are now methods of src/settings.rs, which both programs read it by, and absent and null stay the same. Limits that make no sense end the start with their key.

--- a/src/config.rs
+++ b/src/config.rs
@@ -169,12 +169,21 @@
         if info.domain.class_fetch.iter().any(|parts| *parts > 0) {
             return Err("key settings.domain.class_fetch: a second step is not spoken on sockets".into());
         }
-        for class in &info.request_classes {
-            if class.deadline_ms.is_some_and(|limit| !limit.is_finite() || limit <= 0.0) {
-                return Err(format!(
-                    "key settings.request_classes: deadline_ms of {} must be above 0",
-                    class.name
-                ));
+        for (at, class) in info.request_classes.iter().enumerate() {
+            if class.deadline_ms() <= 0.0 {
+                return Err(format!("key settings.request_classes[{at}].deadline_ms: must be above 0"));
+            }
+        }
+        let caps = &info.caps;
+        for (key, sound) in [
+            ("connect_timeout_ms", caps.connect_timeout_ms() > 0.0),
+            ("keepalive_ms", caps.keepalive_ms() > 0.0),
+            ("max_open", caps.max_open() > 0),
+            ("streams_per_conn", caps.streams_per_conn() > 0),
+            ("max_retry_after_ms", caps.max_retry_after_ms >= 0.0),
+        ] {
+            if !sound {
+                return Err(format!("key settings.caps.{key}: is out of range"));
             }
         }
         info.settings().check().map_err(|why| format!("key settings: {why}"))?;
@@ -238,6 +247,13 @@
             (format!(r#"{discovery},"api":"opensearch",{SETTINGS}"#), "key settings.domain.shards:"),
             (format!(r#"{discovery},"api":"soap",{SETTINGS}"#), "key api:"),
             (format!(r#"{discovery},"settings":{{"domain":{{"cells":"x"}}}}"#), "key settings.domain.cells:"),
+            (
+                format!(
+                    r#"{discovery},"settings":{{"caps":{{"streams_per_conn":0}},"domain":{{"cells":1,"width":1}},
+                    "request_classes":[{{"name":"a","aim_ms":1.0,"repeat":"read_like"}}]}}"#
+                ),
+                "key settings.caps.streams_per_conn:",
+            ),
             (
                 format!(r#"{discovery},"store":{{"listen":"10.0.0.1:1","peers":[]}},{SETTINGS}"#),
                 "key store.listen:",
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -237,11 +237,6 @@
     pub counters: Counters,
 }
 
-/// What a core assumes where the settings are silent.
-const DEFAULT_DEADLINE: Millis = 10_000.0;
-const DEFAULT_MAX_OPEN: u32 = 1000;
-const DEFAULT_CONNECT_TIMEOUT: Millis = 250.0;
-
 impl Core {
     /// A core with nothing known but its settings.
     ///
@@ -253,15 +248,11 @@
             router: Router::new(settings.clone(), seed)?,
             names: info.names(),
             class_names: info.request_classes.iter().map(|c| c.name.as_str().into()).collect(),
-            deadlines: info
-                .request_classes
-                .iter()
-                .map(|c| c.deadline_ms.unwrap_or(DEFAULT_DEADLINE))
-                .collect(),
+            deadlines: info.request_classes.iter().map(|c| c.deadline_ms()).collect(),
             settings,
-            max_open: info.caps.max_open.unwrap_or(DEFAULT_MAX_OPEN) as usize,
+            max_open: info.caps.max_open() as usize,
             shards: info.domain.shards,
-            probe_timeout: info.caps.connect_timeout_ms.unwrap_or(DEFAULT_CONNECT_TIMEOUT),
+            probe_timeout: info.caps.connect_timeout_ms(),
             ledger: Ledger::default(),
             inbox: Vec::new(),
             orders: VecDeque::new(),
--- a/src/service.rs
+++ b/src/service.rs
@@ -53,10 +53,10 @@
     let core = Core::new(&info, config.seed()).map_err(|why| format!("key settings: {why}"))?;
     let driver = Driver::new(core, executor.clone());
     let limits = transport::Limits {
-        connect: span(info.caps.connect_timeout_ms.unwrap_or(250.0)),
-        keep_alive: span(info.caps.keepalive_ms.unwrap_or(30_000.0)),
-        streams: info.caps.streams_per_conn.unwrap_or(100).max(1) as usize,
-        bundle: info.domain.bundle_max.unwrap_or(1) as usize,
+        connect: span(info.caps.connect_timeout_ms()),
+        keep_alive: span(info.caps.keepalive_ms()),
+        streams: info.caps.streams_per_conn() as usize,
+        bundle: info.domain.bundle_max() as usize,
         connections: config.store_connections(),
     };
     let stores: Rc<dyn RunStores> = match config.api {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -41,7 +41,7 @@
     pub name: String,
     pub aim_ms: f64,
     #[serde(default)]
-    pub deadline_ms: Option<f64>,
+    deadline_ms: Option<f64>,
     pub repeat: InfoRepeat,
     #[serde(default)]
     pub window_ms: Option<f64>,
@@ -51,6 +51,13 @@
     pub late_worth: Option<f64>,
 }
 
+impl InfoClass {
+    /// How long clients wait for an answer.
+    pub fn deadline_ms(&self) -> f64 {
+        self.deadline_ms.unwrap_or(10_000.0)
+    }
+}
+
 /// Whether parts of a class may be repeated.
 #[derive(Debug, Clone, Deserialize, Copy)]
 #[serde(rename_all = "snake_case")]
@@ -60,20 +67,47 @@
     NonIdempotent,
 }
 
-/// What the site permits.
-#[derive(Debug, Clone, Deserialize, Default)]
+/// What the site permits. A limit that is absent or null has the default of its method.
+#[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default)]
 pub struct Caps {
     pub keepalive_ms: Option<f64>,
-    pub connect_timeout_ms: Option<f64>,
-    pub max_open: Option<u32>,
-    pub streams_per_conn: Option<u32>,
-    pub max_attempts: Option<u32>,
+    connect_timeout_ms: Option<f64>,
+    max_open: Option<u32>,
+    streams_per_conn: Option<u32>,
+    max_attempts: Option<u32>,
     pub max_retry_after_ms: f64,
     pub may_cancel: bool,
     pub probes: bool,
 }
 
+impl Caps {
+    /// After this time idle, run stores close connections.
+    pub fn keepalive_ms(&self) -> f64 {
+        self.keepalive_ms.unwrap_or(30_000.0)
+    }
+
+    /// How long a connection may take to come up.
+    pub fn connect_timeout_ms(&self) -> f64 {
+        self.connect_timeout_ms.unwrap_or(250.0)
+    }
+
+    /// Queries and parts that may be held.
+    pub fn max_open(&self) -> u32 {
+        self.max_open.unwrap_or(1000)
+    }
+
+    /// Calls on one connection at once.
+    pub fn streams_per_conn(&self) -> u32 {
+        self.streams_per_conn.unwrap_or(100)
+    }
+
+    /// Attempts for one part.
+    pub fn max_attempts(&self) -> u32 {
+        self.max_attempts.unwrap_or(1)
+    }
+}
+
 /// How shards lie over run stores, and what answers need.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Domain {
@@ -82,7 +116,7 @@
     #[serde(default)]
     pub shards: Option<u32>,
     #[serde(default)]
-    pub bundle_max: Option<u32>,
+    bundle_max: Option<u32>,
     #[serde(default)]
     pub overhead_ms: f64,
     #[serde(default)]
@@ -97,6 +131,13 @@
     pub warm_keys: bool,
 }
 
+impl Domain {
+    /// The most parts in one call.
+    pub fn bundle_max(&self) -> u32 {
+        self.bundle_max.unwrap_or(1)
+    }
+}
+
 /// A tenant.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Realm {
@@ -138,7 +179,7 @@
 
     /// The longest time that any query may take, in milliseconds.
     pub fn longest_deadline(&self) -> f64 {
-        self.request_classes.iter().filter_map(|class| class.deadline_ms).fold(0.0, f64::max)
+        self.request_classes.iter().map(InfoClass::deadline_ms).fold(0.0, f64::max)
     }
 
     /// The settings in the router's terms.
@@ -185,11 +226,11 @@
             routers: self.balancers.unwrap_or(1),
             cells: self.domain.cells,
             width: self.domain.width,
-            call_parts: self.domain.bundle_max.unwrap_or(1),
+            call_parts: self.domain.bundle_max(),
             call_overhead: self.domain.overhead_ms,
             warm_keys: self.domain.warm_keys,
             worth_by_work: self.worth_by.as_deref() == Some("work"),
-            max_attempts: self.caps.max_attempts.unwrap_or(1),
+            max_attempts: self.caps.max_attempts(),
             may_cancel: self.caps.may_cancel,
             keep_alive: self.caps.keepalive_ms,
             probes: self.caps.probes,
