Test failing discovery, restarted run stores and the limit on connections without races

Discovery that answers 503 or breaks off is asked again while the old list stands; a run store with a new start time gets a new connection. The test of the connection limit took a connection whose request was not yet read for an idle one; it now waits for the count of queries taken.

--- a/tests/http.rs
+++ b/tests/http.rs
@@ -72,8 +72,9 @@
 
 #[test]
 fn no_input_panics_and_what_is_kept_is_bounded() {
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
-    let mut runner = TestRunner::new_with_rng(Config { cases: 500, ..Config::default() }, rng);
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner =
+        TestRunner::new_with_rng(Config { cases: 500, failure_persistence: None, ..Config::default() }, rng);
     let words = prop::sample::select(vec![
         &b"POST / HTTP/1.1\r\n"[..],
         b"Content-Length: 5\r\n",
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -65,8 +65,9 @@
 #[test]
 fn every_call_ends_once_and_as_its_last_byte_says() {
     // One seed for all runs: the verdict is the same every time.
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
-    let mut runner = TestRunner::new_with_rng(Config { cases: 400, ..Config::default() }, rng);
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner =
+        TestRunner::new_with_rng(Config { cases: 400, failure_persistence: None, ..Config::default() }, rng);
     let strategy = (1..4usize, steps());
     runner.run(&strategy, |(bundle, steps)| walk(bundle, &steps)).unwrap();
 }
--- a/tests/sockets/aggregator.rs
+++ b/tests/sockets/aggregator.rs
@@ -200,8 +200,9 @@
         answer(&mut stream).body
     }
 
-    pub fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+    /// Sends a signal: `TERM`, or `USR1` for its counters.
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status().unwrap();
         assert!(done.success());
     }
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -115,6 +115,34 @@
     }
 }
 
+#[test]
+fn discovery_that_fails_is_asked_again_and_the_old_list_stands_meanwhile() {
+    let aggregator = Aggregator::start(Wire::Frames, 2);
+    aggregator.board.change(|state| state.failures = 3);
+    // The call that is out is answered first; the next ones fail.
+    aggregator.board.tell(json!([line(0, aggregator.stores[0], "draining", 0)]));
+    aggregator.board.wait("the failures", |state| state.failures == 0);
+    for shard in 0..4 {
+        assert!(aggregator.ask("run-lookup", &[shard], 8000).whole());
+    }
+    aggregator.logged("end discovery");
+    aggregator.board.tell(json!([line(0, aggregator.stores[0], "ready", 0)]));
+}
+
+#[test]
+fn a_new_start_time_is_a_new_process_and_gets_a_new_connection() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        assert!(aggregator.ask("run-lookup", &[0], 8000).whole(), "{wire:?}");
+        assert_eq!(aggregator.board.read(|state| state.connections[&0]), 1, "{wire:?}");
+        aggregator.board.tell(json!([line(0, aggregator.stores[0], "ready", 1)]));
+        assert!(aggregator.ask("run-lookup", &[0], 8000).whole(), "{wire:?}");
+        assert_eq!(aggregator.board.read(|state| state.connections[&0]), 2, "{wire:?}");
+        let line = aggregator.logged("end run_store");
+        assert!(line.contains("code=retired"), "{wire:?}: {line}");
+    }
+}
+
 #[test]
 fn a_burst_meets_a_new_run_store_with_one_connection_coming_up_at_a_time() {
     for wire in WIRES {
@@ -151,7 +179,7 @@
         aggregator.board.act(0, Act::Silent);
         let mut held = aggregator.begin("run-lookup", &[0], 900);
         aggregator.board.wait("the part", |state| state.parts.len() == 1);
-        aggregator.terminate();
+        aggregator.signal("TERM");
         aggregator.logged("draining");
         // It goes on accepting for a while.
         aggregator.board.act(0, Act::Serve);
@@ -305,6 +333,13 @@
         let held: Vec<_> = (0..42).map(|n| aggregator.begin("run-lookup", &[n % 4], 9000)).collect();
         let line = aggregator.logged("end client");
         assert!(line.contains("code=full requests=1"), "{wire:?}: {line}");
+        // Until its request is read, a new connection stands idle too.
+        loop {
+            aggregator.signal("USR1");
+            if aggregator.logged("counters ").contains("taken=42 ") {
+                break;
+            }
+        }
         let refused = aggregator.ask("run-lookup", &[0], 9000);
         assert_eq!(refused.status, 503, "{wire:?}: {refused:?}");
         assert!(refused.head.contains("\r\nretry-after: "), "{wire:?}: {refused:?}");
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -55,6 +55,8 @@
     pub zone: Vec<(String, u16, Vec<String>)>,
     /// How often DNS was asked for the list.
     pub looks: usize,
+    /// Calls that discovery is still to fail, by turns with a 503 and by breaking off.
+    pub failures: usize,
     /// Versions of the list, in order.
     lists: Vec<Value>,
     /// The version that discovery has told last.
@@ -240,6 +242,16 @@
             let after = number("after=").unwrap_or(0);
             let wait = Duration::from_millis(number("wait_ms=").unwrap_or(0) as u64);
             let mut state = board.state.lock().unwrap();
+            if state.failures > 0 {
+                state.failures -= 1;
+                let broken = state.failures.is_multiple_of(2);
+                drop(state);
+                board.changed.notify_all();
+                if broken || respond(&mut stream, "503 Service Unavailable", "").is_err() {
+                    return;
+                }
+                continue;
+            }
             state.told = state.told.max(after);
             board.changed.notify_all();
             let (state, _) =
