--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -144,7 +144,7 @@
     let (whole, pieces) = match verdict {
         Verdict::Served { whole, pieces, .. } => (*whole, pieces),
         Verdict::Refused { retry_after } => {
-            let why = "the aggregator has no room for this search; nothing of it has run";
+            let why = "the aggregator has no room for this search; asking again is harmless";
             return back_off(error(429, "rejected_execution_exception", why), *retry_after);
         }
         Verdict::Failed { retry_after } => {
--- a/src/http/write.rs
+++ b/src/http/write.rs
@@ -33,7 +33,7 @@
     /// With advice on when to come back, if there is any.
     pub fn retry_after(self, millis: f64) -> Self {
         if millis > 0.0 {
-            self.with("Retry-After", format!("{:.3}", millis / 1000.0))
+            self.with("Retry-After", (millis.ceil() / 1000.0).to_string())
         } else {
             self
         }
