Test answers from some of the parts, over both wires

With two of four shards silent a run-search is answered at its aim, not marked whole, with the values that came and the missing shards named; a run-lookup fails, and so does a search whose client wants no partial results, with advice on when to come back.

--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -80,6 +80,39 @@
     }
 }
 
+#[test]
+fn an_answer_from_enough_parts_is_given_and_not_marked_whole() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Half);
+        let answer = aggregator.ask("run-search", &[0, 1, 2, 3], 9000);
+        assert_eq!(answer.status, 200, "{wire:?}: {answer:?}");
+        assert!(!answer.whole(), "{wire:?}: {answer:?}");
+        for (value, there) in [("\"v0\"", true), ("\"v1\"", false), ("\"v2\"", true), ("\"v3\"", false)] {
+            assert_eq!(answer.body.contains(value), there, "{wire:?}: {answer:?}");
+        }
+        if wire == Wire::OpenSearch {
+            let shards = &answer.json()["_shards"];
+            assert_eq!((&shards["successful"], &shards["failed"]), (&json!(2), &json!(2)));
+            assert_eq!(shards["failures"][1]["shard"], json!(3));
+        }
+        // A class that needs every part gets none from half of them.
+        assert_eq!(aggregator.ask("run-lookup", &[0, 1], 1500).status, 500, "{wire:?}");
+    }
+}
+
+#[test]
+fn whoever_wants_no_partial_results_gets_none() {
+    let aggregator = Aggregator::start(Wire::OpenSearch, 1);
+    aggregator.board.act(0, Act::Half);
+    let mut stream = aggregator.connect();
+    let target = "/run-search/_search?allow_partial_search_results=false&timeout=1s";
+    stream.write_all(format!("POST {target} HTTP/1.1\r\n\r\n").as_bytes()).unwrap();
+    let answer = answer(&mut stream);
+    assert_eq!(answer.status, 500, "{answer:?}");
+    assert!(answer.head.contains("\r\nretry-after: 1\r\n"), "{answer:?}");
+}
+
 #[test]
 fn a_client_that_leaves_mid_search_has_its_parts_called_back() {
     for wire in WIRES {
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -28,6 +28,8 @@
     TurnAway,
     /// It is taken, and no word comes.
     Silent,
+    /// Served for even shards, silent for odd ones.
+    Half,
     /// It is taken, and the connection breaks.
     Break,
     /// A raw answer to a search, its connection closed after it.
@@ -103,7 +105,11 @@
         let mut act = Act::Serve;
         self.change(|state| {
             state.parts.push((store, shard));
-            act = state.acts.get(&store).copied().unwrap_or(Act::Serve);
+            act = match state.acts.get(&store).copied().unwrap_or(Act::Serve) {
+                Act::Half if shard % 2 == 1 => Act::Silent,
+                Act::Half => Act::Serve,
+                act => act,
+            };
         });
         act
     }
@@ -161,7 +167,7 @@
                     Act::Serve => answer(b'5', format!("{id} S 7 util=0.50,qps=3\nv{shard}").as_bytes())?,
                     Act::Error => answer(b'5', format!("{id} E 7 -\n").as_bytes())?,
                     Act::TurnAway => answer(b'5', format!("{id} B 7 -\n").as_bytes())?,
-                    Act::Silent => {}
+                    Act::Silent | Act::Half => {}
                     Act::Break => return Ok(()),
                     Act::Raw(_) => answer(b'?', b"what")?,
                 }
@@ -215,7 +221,7 @@
             }
             Act::Error => respond(&mut stream, "500 Internal Server Error", "{\"error\":{},\"status\":500}")?,
             Act::TurnAway => respond(&mut stream, "429 Too Many Requests", "{\"error\":{},\"status\":429}")?,
-            Act::Silent => {
+            Act::Silent | Act::Half => {
                 // The search is given up by closing its connection.
                 let left = stream.read(&mut [0; 1])?;
                 assert_eq!(left, 0, "nothing follows a search that is out");
