--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -169,12 +169,6 @@
         let mut last: Option<Instant> = None;
         loop {
             let wake = self.core.borrow().wake_at().map(|at| self.instant(at));
-            // While queries are held, a step comes each tick. The router leaves an answer that waits for the aim
-            // 20 ms to reach its client and asks to be woken every 10 ms: here timers are late and ways are
-            // real, and half of that spent on waiting for the wake made such answers late.
-            let held = self.core.borrow().open_queries() > 0;
-            let sweep = last.filter(|_| held).map(|last| last + tick);
-            let wake = [wake, sweep].into_iter().flatten().min();
             let due = async {
                 match wake {
                     Some(at) => Timer::at(at).await,
