Read the configuration again on SIGHUP and move the watch at once

Signals::new in service.rs named TERM, INT and USR1 only, so the default action of SIGHUP ended the process. Ruled out: a panic (none in the log) and memory (1 MB).

Now service.rs attends to SIGHUP before and during the drain. The file is read by config again; a faulty one is logged with its key and changes nothing. A changed discovery ends whatever call is out, drops the old address's version and asks for the whole list; the DNS-SD directory moves the same way. The move is looked at before an answer that came in the same poll, which would bring the old version back.

Tests (both wires, and DNS-SD): out of a hanging call, a service at a lower version, a faulty file, a key that needs a restart.

--- a/src/config.rs
+++ b/src/config.rs
@@ -3,11 +3,12 @@
 //! The file is JSON, named by `GW_CONFIG` or by the first argument. Messages name the faulty key.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::{env, fs};
 
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use serde_json::Value;
 
 use crate::directory::list::List;
 use crate::settings::Info;
@@ -50,7 +51,7 @@
 }
 
 /// The DNS server and the service that list the run stores.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct DnsSd {
     /// Where the DNS server listens.
     pub server: SocketAddr,
@@ -66,7 +67,7 @@
 }
 
 /// This peer of the replicated store.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct Store {
     /// Where peers connect.
     pub listen: SocketAddr,
@@ -89,7 +90,7 @@
 }
 
 /// What the process may use.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub struct Limits {
     /// Descriptors.
@@ -102,19 +103,43 @@
     }
 }
 
+/// The file that the first argument or the environment names.
+///
+/// # Errors
+/// Says so if none is named.
+pub fn path() -> Result<PathBuf, String> {
+    let path = env::args_os().nth(1).or_else(|| env::var_os("GW_CONFIG"));
+    path.map(PathBuf::from).ok_or_else(|| "GW_CONFIG is not set, and no file was named".into())
+}
+
 impl Config {
-    /// Reads the configuration that the environment or the first argument names.
+    /// Reads and checks a file, at the start and again at a reload.
     ///
     /// # Errors
     /// Says which key is at fault.
-    pub fn load() -> Result<Self, String> {
-        let path = env::args_os().nth(1).or_else(|| env::var_os("GW_CONFIG"));
-        let path = path.ok_or("GW_CONFIG is not set, and no file was named")?;
-        let path = Path::new(&path);
+    pub fn load(path: &Path) -> Result<Self, String> {
         let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
         Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))
     }
 
+    /// The keys in which another configuration differs and which only a restart takes up. What a reload takes
+    /// up, the address of discovery and the DNS server and service, is not among them; nor are `seed` and `known`,
+    /// which are meant for a start alone.
+    pub fn needs_restart(&self, new: &Config) -> Vec<&'static str> {
+        let settings =
+            |config: &Config| -> Option<Value> { serde_json::from_str(config.settings.as_ref()?.get()).ok() };
+        let changed = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("dns_sd", self.dns_sd.is_some() != new.dns_sd.is_some()),
+            ("store", self.store != new.store),
+            ("limits", self.limits != new.limits),
+            ("api", self.api != new.api),
+            ("settings", settings(self) != settings(new)),
+        ];
+        changed.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
+    }
+
     /// Reads and checks a configuration.
     ///
     /// # Errors
@@ -270,6 +295,17 @@
         }
     }
 
+    #[test]
+    fn a_reload_names_the_keys_that_need_a_restart() {
+        let old = parse(&format!(r#""discovery":"127.0.0.1:1",{SETTINGS}"#)).unwrap();
+        let moved = parse(&format!(r#""discovery":"127.0.0.1:2",{SETTINGS}"#)).unwrap();
+        assert_eq!(old.needs_restart(&moved), [""; 0], "a reload takes up another address of discovery");
+        let other = SETTINGS.replace("1.0", "2.0");
+        let changed =
+            parse(&format!(r#""dns_sd":{{"server":"127.0.0.1:1","service":"_a._tcp"}},"seed":"7",{other}"#));
+        assert_eq!(old.needs_restart(&changed.unwrap()), ["dns_sd", "settings"]);
+    }
+
     #[test]
     fn the_operators_file_is_sound() {
         let config = Config::parse(include_str!("../deploy/operator.json")).unwrap();
--- a/src/directory/dns_sd.rs
+++ b/src/directory/dns_sd.rs
@@ -12,14 +12,17 @@
 
 use async_io::Timer;
 use async_net::{TcpStream, UdpSocket};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 
 use super::dns::{self, Data, Kind, Name, Record, Response};
 use super::list::{Line, List};
+use super::{Reload, Target};
+use crate::config::{Config, DnsSd as Place};
 use crate::core::drive::{Directory, Driver};
 use crate::core::News;
 use crate::http::client::within;
 use crate::log::{self, Reason};
+use crate::transport::span;
 
 /// How long a query may take, and how often it is made: datagrams get lost.
 const LIMIT: Duration = Duration::from_millis(500);
@@ -28,26 +31,53 @@
 /// A directory that asks a DNS server again and again.
 pub struct DnsSd {
     driver: Rc<Driver>,
-    server: SocketAddr,
-    service: Name,
-    refresh: Duration,
+    place: Target<Place>,
     on: Cell<bool>,
     last: RefCell<List>,
 }
 
+/// The looks at one place.
+struct Looks {
+    server: SocketAddr,
+    service: Name,
+}
+
 impl DnsSd {
-    /// A directory of the instances of a service, such as `_run-store._tcp.example`.
-    pub fn new(driver: Rc<Driver>, server: SocketAddr, service: &str, refresh: Duration) -> Rc<Self> {
-        let service = dns::name(service);
-        Rc::new(DnsSd { driver, server, service, refresh, on: Cell::new(false), last: RefCell::default() })
+    /// A directory of the instances of a service.
+    pub fn new(driver: Rc<Driver>, place: Place) -> Rc<Self> {
+        let place = Target::new(place);
+        Rc::new(DnsSd { driver, place, on: Cell::new(false), last: RefCell::default() })
     }
 
     async fn run(self: Rc<Self>) {
-        let why = loop {
-            match self.list().await {
+        let (server, why) = loop {
+            let place = self.place.settle();
+            let looked = async { Some(self.look(&place).await) };
+            let moved = async {
+                self.place.moved().await;
+                None
+            };
+            // A reload ends whatever query is out, before an answer of the old place is taken in.
+            match future::or(moved, looked).await {
+                Some(why) => break (place.server, why),
+                None => log::ended("dns", Some(place.server), Reason::Retired, "the directory has moved"),
+            }
+        };
+        let reason = if why.kind() == io::ErrorKind::TimedOut { Reason::TooSlow } else { Reason::Malformed };
+        log::ended("dns", Some(server), reason, why);
+        // The core decides when to ask again.
+        self.on.set(false);
+        self.driver.take_news(News::Broken);
+    }
+
+    /// Looks again and again until a look fails.
+    async fn look(&self, place: &Place) -> io::Error {
+        let looks = Looks { server: place.server, service: dns::name(&place.service) };
+        loop {
+            match looks.list().await {
                 // No run store at all is more likely a fault of the zone than the truth: the old list stands.
                 Ok(list) if list.endpoints.is_empty() => {
-                    break io::Error::new(io::ErrorKind::InvalidData, "no run store is listed");
+                    return io::Error::new(io::ErrorKind::InvalidData, "no run store is listed");
                 }
                 Ok(list) if *self.last.borrow() != list => {
                     self.driver.take_news(list.news());
@@ -55,17 +85,14 @@
                 }
                 // Nothing new, which the core is to know once, when it starts to watch.
                 Ok(_) => self.driver.take_news(News::Changes(Vec::new())),
-                Err(why) => break why,
+                Err(why) => return why,
             }
-            Timer::after(self.refresh).await;
-        };
-        let reason = if why.kind() == io::ErrorKind::TimedOut { Reason::TooSlow } else { Reason::Malformed };
-        log::ended("dns", Some(self.server), reason, why);
-        // The core decides when to ask again.
-        self.on.set(false);
-        self.driver.take_news(News::Broken);
+            Timer::after(span(place.refresh_ms)).await;
+        }
     }
+}
 
+impl Looks {
     /// All run stores, as the records tell of them now.
     async fn list(&self) -> io::Result<List> {
         let pointers = self.ask(&self.service, Kind::Ptr).await?;
@@ -160,6 +187,15 @@
     }
 }
 
+impl Reload for Rc<DnsSd> {
+    fn reload(&self, config: &Config) {
+        if config.dns_sd.as_ref().is_some_and(|place| self.place.set(place.clone())) {
+            *self.last.borrow_mut() = List::default();
+            self.watch();
+        }
+    }
+}
+
 impl Directory for Rc<DnsSd> {
     fn watch(&self) {
         if !self.on.replace(true) {
--- a/src/directory/watch.rs
+++ b/src/directory/watch.rs
@@ -6,6 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::future;
+
+use super::{Reload, Target};
+use crate::config::Config;
 use crate::core::drive::{Directory, Driver};
 use crate::core::News;
 use crate::directory::list::List;
@@ -25,7 +29,7 @@
 /// A watch that its core starts, again after each failure.
 pub struct Watch {
     driver: Rc<Driver>,
-    address: SocketAddr,
+    address: Target<SocketAddr>,
     /// The version that is known; `None` before any.
     index: Cell<Option<u64>>,
     on: Cell<bool>,
@@ -34,12 +38,26 @@
 impl Watch {
     /// A watch that is not on yet. It goes on from the version that is already known, if any.
     pub fn new(driver: Rc<Driver>, address: SocketAddr, known: Option<u64>) -> Rc<Self> {
+        let address = Target::new(address);
         Rc::new(Watch { driver, address, index: Cell::new(known), on: Cell::new(false) })
     }
 
     async fn run(self: Rc<Self>) {
-        let mut client = None;
-        let why = self.follow(&mut client).await;
+        let (address, why) = loop {
+            let address = self.address.settle();
+            let mut client = None;
+            let followed = async { Some(self.follow(address, &mut client).await) };
+            let moved = async {
+                self.address.moved().await;
+                None
+            };
+            // A reload ends whatever call is out: an address that is given up may never answer it. It is looked
+            // at first, as an answer taken in after it would bring back the old address's version.
+            match future::or(moved, followed).await {
+                Some(why) => break (address, why),
+                None => self.ended(address, Reason::Retired, "discovery has moved"),
+            }
+        };
         let reason = match why.kind() {
             io::ErrorKind::TimedOut => Reason::TooSlow,
             io::ErrorKind::ConnectionRefused => Reason::ConnectFailed,
@@ -47,40 +65,29 @@
             io::ErrorKind::UnexpectedEof => Reason::PeerClosed,
             _ => Reason::Reset,
         };
-        drop(client);
-        log::ended(
-            "discovery",
-            Some(self.address),
-            reason,
-            format_args!("index={:?} {why}", self.index.get()),
-        );
+        self.ended(address, reason, &why.to_string());
         // The core decides when to ask again.
         self.on.set(false);
         self.driver.take_news(News::Broken);
     }
 
-    fn ended(&self, reason: Reason, why: &str) {
-        log::ended(
-            "discovery",
-            Some(self.address),
-            reason,
-            format_args!("index={:?} {why}", self.index.get()),
-        );
+    fn ended(&self, address: SocketAddr, reason: Reason, why: &str) {
+        log::ended("discovery", Some(address), reason, format_args!("index={:?} {why}", self.index.get()));
     }
 
     /// Follows the list until a call fails.
-    async fn follow(&self, client: &mut Option<Client>) -> io::Error {
+    async fn follow(&self, address: SocketAddr, client: &mut Option<Client>) -> io::Error {
         // The first call does not wait: the core is to know at once that it is up to date.
         let mut wait = Duration::ZERO;
         loop {
             let kept = client.is_some();
-            let mut answer = self.call(client, wait).await;
+            let mut answer = self.call(address, client, wait).await;
             // A kept connection may have been closed meanwhile, which is no failure of the service. A new
             // one keeps the watch unbroken. A call that took its whole time is not made twice.
             if kept && answer.as_ref().is_err_and(|error| error.kind() != io::ErrorKind::TimedOut) {
-                self.ended(Reason::PeerClosed, "the kept connection was closed");
+                self.ended(address, Reason::PeerClosed, "the kept connection was closed");
                 *client = None;
-                answer = self.call(client, wait).await;
+                answer = self.call(address, client, wait).await;
             }
             match answer {
                 Ok(list) => {
@@ -93,7 +100,12 @@
         }
     }
 
-    async fn call(&self, client: &mut Option<Client>, wait: Duration) -> io::Result<List> {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        client: &mut Option<Client>,
+        wait: Duration,
+    ) -> io::Result<List> {
         let target = match self.index.get() {
             None => "/v1/servers".to_string(),
             Some(index) => format!("/v1/servers?after={index}&wait_ms={}", wait.as_millis()),
@@ -101,9 +113,9 @@
         let limit = if wait.is_zero() { FIRST } else { wait + GRACE };
         let mut open = match client.take() {
             Some(open) => open,
-            None => Client::connect(self.address, CONNECT, MOST_LIST).await?,
+            None => Client::connect(address, CONNECT, MOST_LIST).await?,
         };
-        let request = write::request("GET", &target, &self.address.to_string(), &[], &[]);
+        let request = write::request("GET", &target, &address.to_string(), &[], &[]);
         let call = async {
             open.write(&request).await?;
             open.read().await
@@ -117,7 +129,7 @@
         if answer.keep_alive {
             *client = Some(open);
         } else {
-            self.ended(Reason::Done, "one call was all that it was for");
+            self.ended(address, Reason::Done, "one call was all that it was for");
         }
         Ok(list)
     }
@@ -130,3 +142,13 @@
         }
     }
 }
+
+impl Reload for Rc<Watch> {
+    fn reload(&self, config: &Config) {
+        if config.discovery.is_some_and(|address| self.address.set(address)) {
+            // Versions are each service's own: the first call there asks for the whole list.
+            self.index.set(None);
+            self.watch();
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,10 +2,10 @@
 
 use std::process::ExitCode;
 
-use ironpaddle::{config::Config, service};
+use ironpaddle::{config, service};
 
 fn main() -> ExitCode {
-    match Config::load().and_then(|config| service::run(&config)) {
+    match config::path().and_then(|path| service::run(&path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("ironpaddle: {message}");
--- a/src/service.rs
+++ b/src/service.rs
@@ -1,6 +1,7 @@
 //! The aggregator put together, from its start to its orderly end.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use crate::directory::dns_sd::DnsSd;
 use crate::directory::list::List;
 use crate::directory::watch::Watch;
+use crate::directory::Reload;
 use crate::front::opensearch::OpenSearch;
 use crate::front::platform::Platform;
 use crate::http::server::{Handler, Limits, Server};
@@ -37,17 +39,20 @@
 const PEERS_WAIT: Duration = Duration::from_millis(2000);
 const KEEP_DIRECTORY_EVERY: Duration = Duration::from_millis(500);
 
-/// Runs an aggregator until SIGTERM or SIGINT, and then to its orderly end.
+/// Runs an aggregator by the configuration in a file until SIGTERM or SIGINT, and then to its orderly end.
 ///
 /// # Errors
 /// Says why it could not start.
-pub fn run(config: &Config) -> Result<(), String> {
+pub fn run(path: &Path) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, executor.clone())))
+    async_io::block_on(executor.run(serve(path, executor.clone())))
 }
 
-async fn serve(config: &Config, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(|e| e.to_string())?;
+async fn serve(path: &Path, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
+    // Before anything else: a signal that is not caught would end the process.
+    let kinds = [Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup];
+    let mut signals = Signals::new(kinds).map_err(|e| e.to_string())?;
+    let config = &Config::load(path)?;
     let store = start_store(config, &executor).await?;
     let info = settle_settings(config, store.as_deref())?;
     let core = Core::new(&info, config.seed()).map_err(|why| format!("key settings: {why}"))?;
@@ -68,7 +73,8 @@
         // Nothing is known here: what a peer last knew is a better start than nothing.
         known = store.as_ref().and_then(|store| last_directory(store)).unwrap_or(known);
     }
-    driver.connect(stores, directory(config, &driver)?);
+    let (listing, reload) = directory(config, &driver)?;
+    driver.connect(stores, listing);
     driver.take_news(News::Cached(known.listed()));
     executor.spawn(driver.clone().run()).detach();
     if let Some(store) = store {
@@ -88,13 +94,12 @@
     let accepting = executor.spawn(server.clone().accept(listener));
     log::line(&format!("{} listens on {at}", config.name));
 
-    loop {
-        match signals.next().await {
-            Some(Ok(Signal::Usr1)) => log::line(&format!("counters {}", driver.counters())),
-            Some(Ok(_)) | None => break,
-            Some(Err(error)) => log::line(&format!("signals: {error}")),
-        }
-    }
+    let attend = |signal| match signal {
+        Signal::Usr1 => log::line(&format!("counters {}", driver.counters())),
+        Signal::Hup => take_up(path, config, &*reload),
+        _ => {}
+    };
+    until_told_to_end(&mut signals, attend).await;
     // Planned end: go on accepting, answer everything, then leave.
     log::line("draining");
     server.drain();
@@ -109,23 +114,58 @@
             server.close_idle(Reason::Shutdown);
         }
     };
-    future::or(drained, async {
+    let last = async {
         Timer::after(span(info.longest_deadline()) + LAST_WAIT).await;
-    })
-    .await;
+    };
+    let signals = async {
+        loop {
+            until_told_to_end(&mut signals, attend).await;
+        }
+    };
+    future::or(drained, future::or(last, signals)).await;
     log::line(&format!("counters {}", driver.counters()));
     Ok(())
 }
 
-/// The directory that the configuration names.
-fn directory(config: &Config, driver: &Rc<Driver>) -> Result<Rc<dyn Directory>, String> {
-    if let Some(dns) = &config.dns_sd {
-        let refresh = span(dns.refresh_ms);
-        return Ok(Rc::new(DnsSd::new(driver.clone(), dns.server, &dns.service, refresh)));
+/// Attends to signals until one of them ends the program.
+async fn until_told_to_end(signals: &mut Signals, attend: impl Fn(Signal)) {
+    loop {
+        match signals.next().await {
+            Some(Ok(Signal::Term | Signal::Int)) => return,
+            Some(Ok(signal)) => attend(signal),
+            Some(Err(error)) => log::line(&format!("signals: {error}")),
+            None => future::pending().await,
+        }
+    }
+}
+
+/// Reads the configuration again. One that is at fault changes nothing.
+fn take_up(path: &Path, started: &Config, directory: &dyn Reload) {
+    match Config::load(path) {
+        Ok(config) => {
+            for key in started.needs_restart(&config) {
+                log::line(&format!("reload: key {key} has changed and needs a restart"));
+            }
+            directory.reload(&config);
+            log::line("reload: done");
+        }
+        Err(why) => log::line(&format!("reload: the old configuration stays: {why}")),
+    }
+}
+
+/// A directory for the core, and the same for reloads.
+type Listing = (Rc<dyn Directory>, Box<dyn Reload>);
+
+/// The directory that the configuration names, and what moves it at a reload.
+fn directory(config: &Config, driver: &Rc<Driver>) -> Result<Listing, String> {
+    if let Some(place) = &config.dns_sd {
+        let dns = DnsSd::new(driver.clone(), place.clone());
+        return Ok((Rc::new(dns.clone()), Box::new(dns)));
     }
     let address = config.discovery.ok_or("key discovery: is missing, and so is dns_sd")?;
     let known = Some(config.known.index).filter(|_| !config.known.endpoints.is_empty());
-    Ok(Rc::new(Watch::new(driver.clone(), address, known)))
+    let watch = Watch::new(driver.clone(), address, known);
+    Ok((Rc::new(watch.clone()), Box::new(watch)))
 }
 
 /// Starts the replicated store, if it is configured, and waits a moment for what its peers hold.
--- a/tests/sockets/aggregator.rs
+++ b/tests/sockets/aggregator.rs
@@ -206,6 +206,19 @@
         assert!(done.success());
     }
 
+    /// Replaces the configuration file and has it read again.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.config, text).unwrap();
+        self.signal("HUP");
+    }
+
+    /// The configuration it was started with, changed.
+    pub fn configuration(&self, change: impl FnOnce(&mut Value)) -> String {
+        let mut config = serde_json::from_slice(&std::fs::read(&self.config).unwrap()).unwrap();
+        change(&mut config);
+        config.to_string()
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -5,10 +5,11 @@
 mod stand_in;
 
 use std::io::{Read, Write};
+use std::sync::Arc;
 
 use aggregator::{answer, line, Aggregator};
 use serde_json::json;
-use stand_in::{Act, Wire, WIRES};
+use stand_in::{discovery, Act, Board, Wire, WIRES};
 
 #[test]
 fn a_query_is_served_whole_with_the_values_as_given() {
@@ -162,6 +163,52 @@
     aggregator.board.tell(json!([line(0, aggregator.stores[0], "ready", 0)]));
 }
 
+#[test]
+fn a_reload_moves_the_watch_out_of_a_hanging_call_and_asks_for_the_whole_list() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        let [drained, other] = aggregator.stores[..] else { panic!() };
+        // The old service is at version 2 and then hangs; the new one is at version 1.
+        aggregator.board.tell(json!([line(0, drained, "draining", 0)]));
+        aggregator.board.change(|state| state.hangs = true);
+        let calls = aggregator.board.read(|state| state.calls);
+        aggregator.board.list(json!([line(0, drained, "ready", 0)]));
+        aggregator.board.wait("a call that hangs", |state| state.calls > calls);
+        let elsewhere = Arc::new(Board::default());
+        elsewhere.list(json!([line(0, drained, "ready", 0), line(1, other, "draining", 0)]));
+        let address = discovery(&elsewhere).to_string();
+        aggregator.reload(&aggregator.configuration(|config| config["discovery"] = json!(address)));
+        let ended = aggregator.logged("end discovery");
+        assert!(ended.contains("code=retired"), "{wire:?}: {ended}");
+        elsewhere.wait("the watch to go on there", |state| state.calls >= 2);
+        for shard in 0..4 {
+            assert!(aggregator.ask("run-lookup", &[shard], 8000).whole(), "{wire:?}");
+        }
+        let stores = aggregator.board.read(|state| state.parts.iter().map(|part| part.0).collect::<Vec<_>>());
+        assert_eq!(stores, [0; 4], "{wire:?}: the new list holds");
+    }
+}
+
+#[test]
+fn a_reload_of_a_faulty_file_changes_nothing_and_one_of_other_keys_names_them() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        let sound = aggregator.configuration(|_| {});
+        aggregator.reload(&aggregator.configuration(|config| config["discovery"] = json!("nowhere")));
+        let line = aggregator.logged("reload:");
+        assert!(line.contains("the old configuration stays") && line.contains("key discovery"), "{line}");
+        aggregator.reload("{");
+        let line = aggregator.logged("reload:");
+        assert!(line.contains("the old configuration stays"), "{line}");
+        aggregator.reload(&sound.replace("127.0.0.1:0", "127.0.0.1:1"));
+        assert!(aggregator.logged("reload:").contains("key listen has changed and needs a restart"));
+        assert_eq!(aggregator.logged("reload:"), "reload: done");
+        assert!(aggregator.ask("run-lookup", &[0, 1, 2, 3], 8000).whole(), "{wire:?}");
+        // The watch stands where it stood.
+        aggregator.board.tell(json!([aggregator::line(0, aggregator.stores[0], "draining", 0)]));
+    }
+}
+
 #[test]
 fn a_new_start_time_is_a_new_process_and_gets_a_new_connection() {
     for wire in WIRES {
--- a/tests/sockets/operator.rs
+++ b/tests/sockets/operator.rs
@@ -52,6 +52,32 @@
     assert!(aggregator.ask("run-lookup", &[0], 8000).whole());
 }
 
+#[test]
+fn a_reload_moves_the_looks_to_another_dns_server() {
+    let zones = [Arc::new(Board::default()), Arc::new(Board::default())];
+    let servers = zones.each_ref().map(dns);
+    let aggregator = Aggregator::changed(Wire::OpenSearch, 2, |config, stores| {
+        for (zone, store) in zones.iter().zip(0..) {
+            zone.change(|state| state.zone = vec![instance(store, stores[store], "ready")]);
+        }
+        config["discovery"] = Value::Null;
+        config["known"] = json!({});
+        // So long between looks that only the reload can be why the other server is asked.
+        config["dns_sd"] = json!({"server": servers[0].to_string(), "service": "_run-store._tcp.test",
+            "refresh_ms": 3_600_000});
+    });
+    zones[0].wait("the first look", |state| state.looks == 1);
+    aggregator.reload(
+        &aggregator.configuration(|config| config["dns_sd"]["server"] = json!(servers[1].to_string())),
+    );
+    let ended = aggregator.logged("end dns");
+    assert!(ended.contains("code=retired"), "{ended}");
+    zones[1].wait("a look there", |state| state.looks == 1);
+    // The answer to the look is a few datagrams away.
+    while !aggregator.ask("run-lookup", &[0], 1000).whole() {}
+    assert_eq!(aggregator.board.read(|state| state.parts.last().map(|part| part.0)), Some(1));
+}
+
 fn peer(name: &str, peers: &[String], version: u64, change: impl FnOnce(&mut Value)) -> (Aggregator, String) {
     let aggregator = Aggregator::changed(Wire::Frames, 1, |config, _| {
         config["name"] = json!(name);
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -57,6 +57,10 @@
     pub zone: Vec<(String, u16, Vec<String>)>,
     /// How often DNS was asked for the list.
     pub looks: usize,
+    /// Whether discovery takes calls and answers none.
+    pub hangs: bool,
+    /// Calls to discovery.
+    pub calls: usize,
     /// Calls that discovery is still to fail, by turns with a 503 and by breaking off.
     pub failures: usize,
     /// Versions of the list, in order.
@@ -91,6 +95,11 @@
         });
     }
 
+    /// Adds a version of the list.
+    pub fn list(&self, endpoints: Value) {
+        self.change(|state| state.lists.push(endpoints));
+    }
+
     /// Tells a change of the list, and waits until the aggregator has it and asks for the next.
     pub fn tell(&self, endpoints: Value) {
         let mut version = 0;
@@ -248,6 +257,14 @@
             let after = number("after=").unwrap_or(0);
             let wait = Duration::from_millis(number("wait_ms=").unwrap_or(0) as u64);
             let mut state = board.state.lock().unwrap();
+            state.calls += 1;
+            if state.hangs {
+                drop(state);
+                board.changed.notify_all();
+                // Until the caller gives up.
+                let _ = stream.read(&mut [0]);
+                return;
+            }
             if state.failures > 0 {
                 state.failures -= 1;
                 let broken = state.failures.is_multiple_of(2);
@@ -266,8 +283,9 @@
                 .iter()
                 .flat_map(|v| v.as_array().unwrap().clone())
                 .collect();
+            let whole = !first.contains("after=") && !state.lists.is_empty();
             let body =
-                json!({"index": state.lists.len().max(after), "snapshot": false, "endpoints": changes});
+                json!({"index": state.lists.len().max(after), "snapshot": whole, "endpoints": changes});
             drop(state);
             if respond(&mut stream, "200 OK", &body.to_string()).is_err() {
                 return;
