Let a refused class in again: admission forgets its slowness when nothing is measured

Checked by a probe that logged each refusal: spread=104.49 to the digit for 36 s, predicted 1.4 to 14 aims with 0 to 30 parts out and no replica parked. note_pace in decide.rs is the only writer of the spread and runs only for queries that were let in, so a class of which all is refused keeps its last figure for good. What brought it there: a query cut short counted its whole deadline, 117 usual latencies, so five caught by one hung run store were enough. Ruled out: connections (20 of 38), descriptors, CPU (0.09 of a core), parked run stores.

Now the spread goes stale as a rate does (after DRIFT_AFTER intervals, half each interval), and a query cut short counts its aim. Tried and dropped: forgiving from the first moment (thins out sparse classes, a test of trimming fails) and slower halving. Test: after a bad spell and silence the class is let in again; it fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,7 +9,8 @@
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
-/// Intervals without a sample before a rate drifts, by half each interval, toward the mean.
+/// Intervals without a sample before a rate drifts, by half each interval, toward the mean; and a class's
+/// spread toward none.
 const DRIFT_AFTER: f64 = 6.0;
 /// A replica never heard, with none heard, does one cost unit in this part of the aim.
 const FIRST_RATE_OF_AIM: f64 = 0.1;
@@ -184,8 +185,8 @@
     mean: Option<f64>,
     /// What a sound replica does with little else to do: the guide to what a cold one can carry.
     best: Option<f64>,
-    /// By class: how long its queries take, in usual latencies of a part.
-    spread: Vec<f64>,
+    /// By class: how long its queries take, in usual latencies of a part, and when one last told.
+    spread: Vec<(f64, Millis)>,
     density: Option<f64>,
     /// By tenant: what is left of its own share, and when that was reckoned.
     quota: Vec<(f64, Millis)>,
@@ -227,7 +228,7 @@
         settings.check()?;
         let min_aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         let m = Measures {
-            spread: vec![0.0; settings.classes.len()],
+            spread: vec![(0.0, 0.0); settings.classes.len()],
             quota: settings.tenants.iter().map(|t| (t.quota_per_s, 0.0)).collect(),
             further: FURTHER_BURST,
             ..Measures::default()
@@ -551,17 +552,27 @@
 
     fn note_pace(&mut self, number: u64, served: bool) {
         let Some(query) = self.queries.get(&number) else { return };
-        // One cut short would have taken longer: its whole time stands for that.
-        let until = if served { query.enough_at.unwrap_or(self.now) } else { query.deadline };
-        let took = until - query.accepted;
+        // One cut short would have taken longer: its aim stands for that. Its whole time would make a few
+        // queries caught by one hung replica look like a slow fleet.
+        let until = if served { query.enough_at.unwrap_or(self.now) } else { self.now };
+        let least = if served { 0.0 } else { self.s.classes[query.class].aim };
+        let took = (until - query.accepted).max(least);
         let spread = took / self.m.usual.unwrap_or(took).max(self.s.tick);
-        let known = &mut self.m.spread[query.class];
-        *known += SMOOTH_QUERIES * (spread - *known);
+        let (class, known) = (query.class, self.spread(query.class));
+        self.m.spread[class] = (known + SMOOTH_QUERIES * (spread - known), self.now);
+    }
+
+    /// A class of which all is refused tells nothing more: like a rate, what is known of it goes stale, or one
+    /// bad moment would turn the class away for good.
+    fn spread(&self, class: usize) -> f64 {
+        let (spread, at) = self.m.spread[class];
+        let stale = (self.now - at) / (self.min_aim * INTERVAL_OF_AIM) - DRIFT_AFTER;
+        spread * 0.5f64.powf(stale.max(0.0))
     }
 
     /// How long queries of a class take just now, in aims. Parts tell of a change sooner than queries do.
     fn pace(&self, class: usize) -> f64 {
-        self.m.spread[class] * self.m.usual.unwrap_or(0.0) / self.s.classes[class].aim
+        self.spread(class) * self.m.usual.unwrap_or(0.0) / self.s.classes[class].aim
     }
 
     /// Until when work for a query is worth doing. Under pressure late work only makes more work late, so
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -306,3 +306,21 @@
     assert!(sends(&run(&mut router, 25.0, 400.0)).is_empty());
     assert_eq!(sends(&run(&mut router, 405.0, 500.0)).len(), 1);
 }
+
+#[test]
+fn a_class_turned_away_after_a_bad_moment_is_let_in_again() {
+    let (mut router, mut now) = settled(settings(Repeat::Safe), &["a", "b", "c", "d"]);
+    // Queries whose replicas stay silent, until the class is refused at once.
+    let refused = (1..200u64).any(|n| {
+        now += 250.0;
+        let actions = router.step(now, query(n, 1, now + 3000.0));
+        run(&mut router, now + 5.0, now + 245.0);
+        finals(&actions).contains(&format!("refuse q{n}"))
+    });
+    assert!(refused);
+    // While all is refused, nothing is measured: time alone has to forgive. Nothing is out any more then.
+    let end = now + 12_000.0;
+    run(&mut router, now + 250.0, end);
+    let actions = router.step(end + 5.0, query(999, 1, end + 3000.0));
+    assert_eq!((sends(&actions).len(), finals(&actions)), (1, Vec::new()));
+}
