--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,7 +9,7 @@
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
-/// Intervals without a sample before a rate drifts, by half each interval, toward the mean; and a class's
+/// Intervals without a sample before a rate drifts, by half each interval, toward the mean, and a class's
 /// spread toward none.
 const DRIFT_AFTER: f64 = 6.0;
 /// A replica never heard, with none heard, does one cost unit in this part of the aim.
@@ -562,8 +562,8 @@
         self.m.spread[class] = (known + SMOOTH_QUERIES * (spread - known), self.now);
     }
 
-    /// A class of which all is refused tells nothing more: like a rate, what is known of it goes stale, or one
-    /// bad moment would turn the class away for good.
+    /// A class of which all is refused tells nothing more: what is known of it goes stale, as a rate does, or
+    /// one bad moment would turn the class away for good.
     fn spread(&self, class: usize) -> f64 {
         let (spread, at) = self.m.spread[class];
         let stale = (self.now - at) / (self.min_aim * INTERVAL_OF_AIM) - DRIFT_AFTER;
--- a/tests/sockets/operator.rs
+++ b/tests/sockets/operator.rs
@@ -67,14 +67,15 @@
             "refresh_ms": 3_600_000});
     });
     zones[0].wait("the first look", |state| state.looks == 1);
-    aggregator.reload(
-        &aggregator.configuration(|config| config["dns_sd"]["server"] = json!(servers[1].to_string())),
-    );
+    aggregator.reload(&aggregator.configuration(|config| {
+        config["dns_sd"]["server"] = json!(servers[1].to_string());
+        config["dns_sd"]["refresh_ms"] = json!(100);
+    }));
     let ended = aggregator.logged("end dns");
     assert!(ended.contains("code=retired"), "{ended}");
-    zones[1].wait("a look there", |state| state.looks == 1);
-    // The answer to the look is a few datagrams away.
-    while !aggregator.ask("run-lookup", &[0], 1000).whole() {}
+    // The second look there begins after the first was taken in.
+    zones[1].wait("two looks there", |state| state.looks >= 2);
+    assert!(aggregator.ask("run-lookup", &[0], 8000).whole());
     assert_eq!(aggregator.board.read(|state| state.parts.last().map(|part| part.0)), Some(1));
 }
 
