Send parts that a run store has passed over elsewhere, and keep unsafe ones away from it

A probe that logged each part's end showed that six of ten run stores never answer about a quarter of what they are sent (0.24 to 0.29 each), the other four nothing of the sort (0.00 to 0.02). At fault: retry_silent in decide.rs passes over a replica that has answered anything since, so a lost part waited for its aim; and nothing counted in the replica's record, so unsafe parts kept going there.

Now a part that four later ones have passed, and that is out for three usual latencies, is lost: it goes elsewhere if it may and the replica's record is lowered. Tests: the part goes at once, long before patience; an unsafe one stays out, others avoid the replica; both fail without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,6 +19,9 @@
 /// Silence for this share of the aim, and for so many usual latencies (all may be slow), looks like a hang.
 const SUSPECT_OF_AIM: f64 = 0.4;
 const SUSPECT_OF_USUAL: f64 = 3.0;
+/// Parts sent to a replica after one and answered before it, from which that one is lost and not slow: a
+/// queue is worked off about in order, by a few cores at once.
+const OVERTAKEN: u32 = 4;
 /// Parked and suspect replicas beyond this share mean a shared cause: parking would only pile up load.
 const SHARED_CAUSE: f64 = 0.25;
 /// Weight of a new part in smoothed figures (some 15 count), of a query in its class's spread (a router ends
@@ -83,6 +86,8 @@
     load_then: f64,
     idle: Option<Millis>,
     cancelled: bool,
+    /// Parts sent there after it that were answered before it.
+    overtaken: u32,
 }
 
 #[derive(Default)]
@@ -391,6 +396,10 @@
         let (now, aim) = (self.now, self.min_aim);
         let dropped = outcome == Outcome::Reset && flight.idle.is_some();
         let died = !dropped && matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
+        if outcome == Outcome::Completed {
+            let older = |f: &&mut Flight| f.server == flight.server && f.sent < flight.sent;
+            self.flights.values_mut().filter(older).for_each(|f| f.overtaken += 1);
+        }
         if let (true, Some(idle)) = (dropped || outcome == Outcome::Completed, flight.idle) {
             self.note_idle(idle, dropped);
         }
@@ -717,7 +726,8 @@
         server.call = (self.now, if server.call.0 == self.now { server.call.1 + 1 } else { 1 });
         server.cold = (room.map_or(0.0, |(room, _)| room - part.cost), self.now);
         let (class, sent, cost, load_then) = (query.class, self.now, part.cost, self.load_out);
-        let flight = Flight { server: to, class, sent, cost, load_then, idle: server.idle, cancelled: false };
+        let (idle, cancelled, overtaken) = (server.idle, false, 0);
+        let flight = Flight { server: to, class, sent, cost, load_then, idle, cancelled, overtaken };
         self.load_out += cost;
         let timeout = (until - self.now).max(self.s.tick);
         let (part, replica) = (part.id.clone(), server.line.id.clone());
@@ -765,6 +775,31 @@
                 self.end_query(number, true);
             } else {
                 self.retry_silent(number);
+                self.retry_lost(number);
+            }
+        }
+    }
+
+    /// A replica that goes on answering may still lose some of what it is sent. Such a part goes elsewhere if
+    /// it may, without waiting for a time-out, and counts in the replica's record: that keeps unsafe parts,
+    /// which can't go again, away from it. It is no load on a slow fleet, and costs nothing of that budget.
+    fn retry_lost(&mut self, number: u64) {
+        let Some(query) = self.queries.get(&number) else { return };
+        let (class, now, aim) = (query.class, self.now, self.min_aim);
+        let since = now - self.m.usual.unwrap_or(0.0) * SUSPECT_OF_USUAL;
+        let out = |p: &Part| Some((p.id.clone(), p.out.filter(|_| p.last_sent <= since)?, p.attempts));
+        let out: Vec<_> = query.parts.iter().filter_map(out).collect();
+        for (id, (attempt, server), attempts) in out {
+            let flight = self.flights.get_mut(&(id.clone(), attempt));
+            let Some(flight) = flight.filter(|f| !f.cancelled && f.overtaken >= OVERTAKEN) else { continue };
+            // It counts once, also where it stays out.
+            flight.overtaken = 0;
+            if let Some(server) = self.servers.get_mut(&server) {
+                server.judge(class, 0.0, now, aim);
+            }
+            if self.s.classes[class].repeat != Repeat::Unsafe && attempts < self.s.max_attempts {
+                self.m.further += 1.0;
+                self.cancel(&id, attempt);
             }
         }
     }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -324,3 +324,52 @@
     let actions = router.step(end + 5.0, query(999, 1, end + 3000.0));
     assert_eq!((sends(&actions).len(), finals(&actions)), (1, Vec::new()));
 }
+
+/// Sends single parts until `victim` has lost one and answered four sent after it; the lost part, and what the
+/// router did then, and when that was.
+fn lose_one(router: &mut ironpaddle::Router, mut now: f64, victim: &str) -> (String, Vec<Action>, f64) {
+    let (mut lost, mut passed, mut actions) = (None, 0, Vec::new());
+    for n in 1..100 {
+        let sent = sends(&router.step(now, query(n, 1, now + 30_000.0)));
+        let (part, to) = sent[0].clone();
+        now += 50.0;
+        if to == victim && lost.is_none() {
+            lost = Some(part);
+            continue;
+        }
+        passed += u32::from(to == victim && lost.is_some());
+        actions = router.step(now, vec![ended(&part, 0, &to, Outcome::Completed, 50.0)]);
+        if passed == 4 {
+            break;
+        }
+    }
+    assert_eq!(passed, 4);
+    (lost.expect("one was sent there"), actions, now)
+}
+
+#[test]
+fn a_part_that_its_replica_passed_over_goes_elsewhere_at_once() {
+    // The aim is long: patience alone would wait for 20 s.
+    let mut s = settings(Repeat::Safe);
+    s.classes[0].aim = 50_000.0;
+    let (mut router, now) = settled(s, &["a", "b"]);
+    let (lost, actions, now) = lose_one(&mut router, now, "a");
+    assert!(
+        actions.contains(&Action::Cancel { part: lost.as_str().into(), attempt: Attempt(0) }),
+        "{actions:?}"
+    );
+    assert!(parked(&actions).is_empty(), "it answers others");
+    let again = sends(&router.step(now + 5.0, vec![ended(&lost, 0, "a", Outcome::Cancelled, 1.0)]));
+    assert_eq!(again, [(lost, "b".to_string())]);
+}
+
+#[test]
+fn an_unsafe_part_that_was_passed_over_stays_out_and_others_avoid_its_replica() {
+    let mut s = settings(Repeat::Unsafe);
+    s.classes[0].aim = 50_000.0;
+    let (mut router, now) = settled(s, &["a", "b"]);
+    let (_, actions, now) = lose_one(&mut router, now, "a");
+    assert!(!actions.iter().any(|action| matches!(action, Action::Cancel { .. })), "{actions:?}");
+    let sent = sends(&router.step(now + 5.0, (200..204).flat_map(|n| query(n, 1, now + 3000.0)).collect()));
+    assert!(sent.len() == 4 && sent.iter().all(|(_, to)| to == "b"), "{sent:?}");
+}
