Count a connection that breaks as one failure, and as a death only until the replica answers

Now a step's resets count once for each replica and class, kills are counted by replica, the dead are those that have completed nothing since, and only connections idle for an aim that fail at once are taken for dropped ones.

Test: parts lost on one connection go again and their query is served, on two replicas it ends; it fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -60,11 +60,12 @@
 /// Share of sends on idle connections lost from which these are closed early, after that share of the least
 /// idleness that was fatal.
 const DROPS: f64 = 0.1;
+const DROP_OF_USUAL: f64 = 0.25;
 const IDLE_MARGIN: f64 = 0.5;
 /// Lateness of a wake, of the shortest aim, from which this router itself has stood still.
 const STALL_OF_AIM: f64 = 0.1;
-/// Parts of a query lost to resets, with none completed, from which the query itself is the likely cause.
-const POISON: u32 = 2;
+/// Replicas that reset parts of a query, with none completed, from which the query is the likely cause.
+const POISON: usize = 2;
 /// Aims after a mass death in which each query risks one replica first: the next such query may come late.
 const WARY_AIMS: f64 = 20.0;
 /// Queries of a tenant that may come in a clump within its share, if a second's worth is less.
@@ -120,8 +121,9 @@
     first_whole: bool,
     worth: f64,
     share: f64,
-    /// Parts lost to resets, and those of them on connections surely open.
-    resets: (u32, u32),
+    /// Replicas at which parts were lost to resets, and whether on connections surely open. A connection that
+    /// breaks takes several parts along: that is one loss.
+    resets: Vec<(ServerNo, bool)>,
     /// When enough was in for an answer: waiting for the rest until the aim is no sign of pressure.
     enough_at: Option<Millis>,
 }
@@ -363,9 +365,8 @@
         self.note_outcome(&flight, outcome, latency, load);
         let Some(&(number, index)) = self.parts.get(&id) else { return };
         let Some(query) = self.queries.get_mut(&number) else { return };
-        if outcome == Outcome::Reset {
-            query.resets.0 += 1;
-            query.resets.1 += u32::from(flight.idle.is_none());
+        if outcome == Outcome::Reset && query.resets.iter().all(|(server, _)| *server != flight.server) {
+            query.resets.push((flight.server, flight.idle.is_none()));
         }
         let part = &mut query.parts[index];
         (part.out, part.turned_away) = (None, outcome == Outcome::Rejected);
@@ -394,7 +395,9 @@
 
     fn note_outcome(&mut self, flight: &Flight, outcome: Outcome, latency: Millis, load: Option<LoadReport>) {
         let (now, aim) = (self.now, self.min_aim);
-        let dropped = outcome == Outcome::Reset && flight.idle.is_some();
+        // What drops idle connections unseen answers the next send at once.
+        let quick = latency <= self.m.usual.unwrap_or(latency) * DROP_OF_USUAL;
+        let dropped = outcome == Outcome::Reset && flight.idle.is_some() && quick;
         let died = !dropped && matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
         if outcome == Outcome::Completed {
             let older = |f: &&mut Flight| f.server == flight.server && f.sent < flight.sent;
@@ -424,7 +427,10 @@
             // Quick failures are no speed: they leave the rate and lower the record with the class.
             Outcome::Errored | Outcome::Reset | Outcome::Rejected => {
                 server.answered = now;
-                server.judge(flight.class, 0.0, now, aim);
+                // A connection that breaks ends many parts in one step, by one cause: it counts once.
+                if server.trust[flight.class].1 < now {
+                    server.judge(flight.class, 0.0, now, aim);
+                }
             }
             // A replica that answered others meanwhile is slow, not gone: its rate says so.
             Outcome::TimedOut if server.answered > flight.sent => {
@@ -629,7 +635,9 @@
         let heard: Vec<f64> = self.servers.values().filter(listed).filter_map(|s| s.dr).collect();
         self.m.mean = (!heard.is_empty()).then(|| heard.iter().sum::<f64>() / heard.len() as f64);
         let since = self.now - self.min_aim * FORGIVE_AIMS;
-        let died = self.servers.values().filter(|s| s.died.is_some_and(|at| at > since)).count();
+        // One that has completed a part since has only lost a connection.
+        let dead = |s: &&Server| s.died.is_some_and(|at| at > since && s.heard < at);
+        let died = self.servers.values().filter(dead).count();
         if died as f64 > SHARED_CAUSE * self.servers.len() as f64 {
             self.wary = self.now + self.min_aim * WARY_AIMS;
         }
@@ -637,7 +645,7 @@
             let Some(query) = self.queries.get(&number) else { continue };
             let part = &query.parts[index];
             // A query that may kill what takes it risks one replica until a part of it has completed.
-            let risky = query.share == 0.0 && (self.now < self.wary || query.resets.0 >= POISON);
+            let risky = query.share == 0.0 && (self.now < self.wary || query.resets.len() >= POISON);
             let held = (risky && query.parts.iter().any(|p| p.out.is_some()))
                 || (part.attempts > 0 && !self.in_budget());
             if held || !self.may_send(part, query.class) {
@@ -719,7 +727,9 @@
         server.out += part.cost;
         if server.flights == 0 {
             let most = self.s.keep_alive.unwrap_or(0.0);
-            server.idle = server.used.map(|used| self.now - used).filter(|idle| *idle < most);
+            // Nothing drops connections idle for less than an aim: what fails there has other causes.
+            let fatal = |idle: &Millis| *idle > self.min_aim && *idle < most;
+            server.idle = server.used.map(|used| self.now - used).filter(fatal);
         }
         server.used = Some(self.now);
         server.flights += 1;
@@ -762,8 +772,8 @@
             let dead = |p: &Part| !p.done && p.out.is_none() && !p.left_out && !self.may_send(p, query.class);
             let settled = query.parts.iter().all(|p| p.done || p.left_out || dead(p));
             // Poison: whatever begins a part of it dies, and nothing of it completes. It is not sent again.
-            let poison =
-                query.share == 0.0 && query.resets.1 >= if self.now < self.wary { 1 } else { POISON };
+            let open = query.resets.iter().filter(|(_, open)| *open).count();
+            let poison = query.share == 0.0 && open >= if self.now < self.wary { 1 } else { POISON };
             let hopeless = poison || class.least_share >= class.whole_from && query.parts.iter().any(dead);
             if whole || (enough && (self.now >= moment || settled)) {
                 self.note_pace(number, true);
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -373,3 +373,33 @@
     let sent = sends(&router.step(now + 5.0, (200..204).flat_map(|n| query(n, 1, now + 3000.0)).collect()));
     assert!(sent.len() == 4 && sent.iter().all(|(_, to)| to == "b"), "{sent:?}");
 }
+
+#[test]
+fn a_connection_that_breaks_is_one_failure_and_no_kill() {
+    let (mut router, now) = settled(settings(Repeat::Safe), &["a", "b", "c", "d"]);
+    let reset = |sent: &[(String, String)], at: &[&str]| -> Vec<Event> {
+        let lost = sent.iter().filter(|(_, to)| at.contains(&to.as_str()));
+        lost.map(|(part, to)| ended(part, 0, to, Outcome::Reset, 30.0)).collect()
+    };
+    // However many parts of a query were on it, the query is not what killed the replica.
+    let sent = sends(&router.step(now, query(1, 16, now + 3000.0)));
+    let events = reset(&sent, &["c"]);
+    let lost = events.len();
+    let after = router.step(now + 30.0, events);
+    let again = sends(&after);
+    assert!(lost >= 2, "{sent:?}");
+    assert_eq!((finals(&after).len(), again.len()), (0, lost), "all go again");
+    let others = sent.iter().filter(|(_, to)| to != "c").map(|(part, to)| (part, 0, to));
+    let again = again.iter().map(|(part, to)| (part, 1, to));
+    let events =
+        others.chain(again).map(|(part, n, to)| ended(part, n, to, Outcome::Completed, 50.0)).collect();
+    assert_eq!(finals(&router.step(now + 80.0, events)), ["whole q1"]);
+    // Nor has the replica earned a record of so many failures: it is still worth some parts.
+    let now = now + 500.0;
+    run(&mut router, now - 415.0, now - 5.0);
+    let sent = sends(&router.step(now, query(2, 16, now + 3500.0)));
+    assert!(sent.iter().any(|(_, to)| to == "c"), "{sent:?}");
+    // Two replicas that reset parts of a query of which nothing has completed may be its doing.
+    let events = reset(&sent, &["a", "b"]);
+    assert_eq!(finals(&router.step(now + 30.0, events)), ["fail q2"]);
+}
