Refuse and cut only while run stores report that they are busy

At fault: admit and useful_until in decide.rs take slow queries for too much work. Here lost parts made them slow, and refusing, trimming, ending at the aim and sparing repeats make nothing better then. Ruled out: cold run stores (all warm there) and full ones (95 rejections of some 30000 parts). Now all four also need a mean utilization of 0.8 in the reports of the last four aims; with no report it is as before.

Test: the same slow queries are refused without reports and at 0.95, and not at 0.4; it fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,6 +41,8 @@
 const ADMIT_RANGE: (f64, f64) = (0.7, 1.2);
 /// Share of the aim that queries take from which the fleet counts as pressed.
 const PRESSED_AT: f64 = 0.6;
+/// Mean reported utilization under which queries are slow for other reasons than a fleet with too much to do.
+const BUSY_AT: f64 = 0.8;
 /// How fast the fleet's best rate follows samples above it, and those below: near its 97th percentile.
 const BEST_STEPS: (f64, f64) = (0.2, 0.005);
 /// Finishes within this factor are a tie, and so are those within this share of the aim on a replica called
@@ -537,6 +539,9 @@
             let growth = (load / self.m.load_then.unwrap_or(load).max(cost * 0.5)).clamp(GROWTH.0, GROWTH.1);
             let factor = (density / usual.max(f64::MIN_POSITIVE)).sqrt();
             let predicted = self.pace(class) * growth;
+            if !self.busy() {
+                continue;
+            }
             if predicted > ADMIT_AT * factor.clamp(ADMIT_RANGE.0, ADMIT_RANGE.1) {
                 self.end_query(number, false);
             } else if predicted > PRESSED_AT {
@@ -590,11 +595,19 @@
         self.spread(class) * self.m.usual.unwrap_or(0.0) / self.s.classes[class].aim
     }
 
+    /// Whether the fleet has little room, by what replicas reported lately; without reports it may have.
+    fn busy(&self) -> bool {
+        let since = self.now - self.min_aim * FORGIVE_AIMS;
+        let told = |s: &Server| s.load.utilization.filter(|_| s.loaded > since);
+        let told: Vec<f64> = self.servers.values().filter_map(told).collect();
+        told.is_empty() || told.iter().sum::<f64>() >= BUSY_AT * told.len() as f64
+    }
+
     /// Until when work for a query is worth doing. Under pressure late work only makes more work late, so
     /// what earns little after the aim ends there; unsafe parts run on, since nothing can replace them.
     fn useful_until(&self, query: &Query) -> Millis {
         let class = &self.s.classes[query.class];
-        let pressed = self.pace(query.class) > PRESSED_AT;
+        let pressed = self.busy() && self.pace(query.class) > PRESSED_AT;
         if pressed && class.repeat != Repeat::Unsafe && class.late_worth < LATE_WORTH {
             query.deadline.min(query.accepted + class.aim)
         } else {
@@ -821,7 +834,8 @@
         let class = query.class;
         let since = self.now - self.patience(class);
         // Repeats are load: none when all are slow, as then they only make it worse.
-        let none = self.pace(class) > PRESSED_AT || self.now + self.m.usual.unwrap_or(0.0) > query.deadline;
+        let slow = self.busy() && self.pace(class) > PRESSED_AT;
+        let none = slow || self.now + self.m.usual.unwrap_or(0.0) > query.deadline;
         let safe = self.s.classes[class].repeat != Repeat::Unsafe;
         let silent = |p: &Part| {
             Some((
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -403,3 +403,29 @@
     let events = reset(&sent, &["a", "b"]);
     assert_eq!(finals(&router.step(now + 30.0, events)), ["fail q2"]);
 }
+
+#[test]
+fn nothing_is_refused_while_replicas_report_that_they_have_room() {
+    let refused = |utilization: Option<f64>| {
+        let names = ["a", "b", "c", "d"];
+        let (mut router, mut now) = settled(settings(Repeat::Safe), &names);
+        // Three of four queries are slow to the end of their time.
+        (1..60u64).any(|n| {
+            now += 250.0;
+            let actions = router.step(now, query(n, 1, now + 3000.0));
+            if let Some((part, to)) = sends(&actions).first().filter(|_| n % 4 == 0) {
+                let load = utilization.map(|u| LoadReport { utilization: Some(u), ..LoadReport::default() });
+                let mut end = ended(part, 0, to, Outcome::Completed, 5.0);
+                if let Event::AttemptEnded(end) = &mut end {
+                    end.load = load;
+                }
+                router.step(now + 5.0, vec![end]);
+            }
+            run(&mut router, now + 10.0, now + 245.0);
+            finals(&actions).contains(&format!("refuse q{n}"))
+        })
+    };
+    assert!(refused(None), "without reports, slowness is all there is to go by");
+    assert!(refused(Some(0.95)));
+    assert!(!refused(Some(0.4)), "whatever makes queries slow, it is not too much work");
+}
