Give clients that send nothing of use a short time, and keep nothing of run stores that are gone

Now a first request has 2.2 s from its connection on, a later one from its first byte (then 408 and a close), silence of a connection that never asked is closed as soon, those that never asked make room first, at most 256 KiB are read away after a last answer, and the server yields after each accept, each answer and each read of what is thrown away. What is gone is forgotten by the core and by both transports; the counters tell how many run stores are kept. A platform body's micros and term are checked.

Tests over both wires: silence, half a head and half a body; silent connections beside one that has asked; 60 MB; a run store that is gone.

--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -31,6 +31,8 @@
     fn retire(&self, replica: &ReplicaId);
     /// A run store listens here; an earlier process of its name is no more.
     fn locate(&self, replica: &ReplicaId, address: std::net::SocketAddr, started: Option<Millis>);
+    /// The number of run stores of which anything is kept.
+    fn places(&self) -> usize;
 }
 
 /// A directory of run stores.
@@ -106,7 +108,9 @@
 
     /// The counts so far.
     pub fn counters(&self) -> Counters {
-        self.core.borrow().counters.clone()
+        let core = self.core.borrow();
+        let places = self.stores.get().map_or(0, |stores| stores.places());
+        Counters { run_stores: core.run_stores(), places, ..core.counters.clone() }
     }
 
     /// The number of queries that are owed an answer.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -281,6 +281,11 @@
         self.wake
     }
 
+    /// The number of run stores of which anything is kept.
+    pub fn run_stores(&self) -> usize {
+        self.ledger.places.len()
+    }
+
     /// The number of queries that are owed an answer.
     pub fn open_queries(&self) -> usize {
         self.ledger.queries.len()
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -35,8 +35,7 @@
 
     fn probe(&mut self, replica: crate::api::ReplicaId) {
         let place = self.ledger.places.get(&replica);
-        let listed =
-            place.is_some_and(|place| place.at.is_some() && place.replica.state != ReplicaState::Gone);
+        let listed = place.is_some_and(|place| place.at.is_some());
         // One probe at a time for each run store: a second would only add load to one in trouble.
         if self.ledger.probes.values().any(|known| *known == replica) {
             return;
@@ -63,9 +62,7 @@
             let missing: Vec<_> =
                 self.ledger.places.keys().filter(|id| !named((*id).clone())).cloned().collect();
             for id in missing {
-                if let Some(place) = self.ledger.places.get_mut(&id) {
-                    place.replica.state = ReplicaState::Gone;
-                }
+                self.ledger.places.remove(&id);
                 self.orders.push_back(Order::Retire(id));
             }
         }
@@ -81,14 +78,13 @@
         }));
     }
 
-    /// The list as last told, without what is gone.
+    /// The list as last told.
     pub fn directory(&self) -> Vec<Listed> {
-        let here = |place: &&Place| place.replica.state != ReplicaState::Gone;
         let line = |place: &Place| Listed {
             replica: place.replica.clone(),
             address: place.at.map(|(address, _)| address),
         };
-        self.ledger.places.values().filter(here).map(line).collect()
+        self.ledger.places.values().map(line).collect()
     }
 
     fn locate(&mut self, line: &Listed) {
@@ -106,6 +102,11 @@
             // The drain rule counts queued and connecting sends too.
             self.orders.push_back(Order::Retire(id.clone()));
         }
+        if state == ReplicaState::Gone {
+            // Run stores are replaced by new ones with new names all day: nothing is kept of the old ones.
+            self.ledger.places.remove(&id);
+            return;
+        }
         self.ledger.places.insert(id, Place { replica: line.replica.clone(), at });
     }
 }
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -30,6 +30,10 @@
     pub probes: u64,
     /// Ends of attempts: completed, errored, rejected, timed out, not connected, reset, cancelled, not sent.
     pub ends: [u64; 8],
+    /// Run stores of which the core keeps anything just now, and the transport.
+    pub run_stores: usize,
+    /// See `run_stores`.
+    pub places: usize,
 }
 
 impl Counters {
@@ -64,7 +68,7 @@
             "taken={} turned_away={} whole={} partial={} refused={} failed={} clients_gone={} malformed={} \
              sent={} probes={} completed={completed} errored={errored} rejected={rejected} \
              timed_out={timed_out} not_connected={not_connected} reset={reset} cancelled={cancelled} \
-             not_sent={not_sent}",
+             not_sent={not_sent} run_stores={} places={}",
             self.taken,
             self.turned_away,
             self.whole,
@@ -75,6 +79,8 @@
             self.malformed,
             self.sent,
             self.probes,
+            self.run_stores,
+            self.places,
         )
     }
 }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -137,6 +137,11 @@
     }
     let timeout = header("x-timeout").map(timeout).transpose()?;
     let body: Body = serde_json::from_slice(&request.body).map_err(|error| format!("the body: {error}"))?;
+    let hint = |slice: &Slice| slice.micros.is_none_or(|micros| micros.is_finite() && micros >= 0.0);
+    let term = |slice: &Slice| slice.term.as_ref().is_none_or(|term| term.len() <= MOST_NAME);
+    if !body.slices.iter().all(|slice| hint(slice) && term(slice)) {
+        return Err("micros must not be negative, and a term is 16 hex digits".into());
+    }
     let part = |slice: Slice| AskPart {
         shard: slice.slice,
         weight: slice.mass,
--- a/src/http/parse.rs
+++ b/src/http/parse.rs
@@ -29,6 +29,8 @@
     Chunk,
     /// The body is too long.
     BodyTooLong,
+    /// The rest of the request did not come in time.
+    TooSlow,
 }
 
 impl Bad {
@@ -39,6 +41,7 @@
             Bad::BodyTooLong => 413,
             Bad::Coding => 501,
             Bad::Version => 505,
+            Bad::TooSlow => 408,
             Bad::StartLine | Bad::Header | Bad::Length | Bad::Chunk => 400,
         }
     }
@@ -55,6 +58,7 @@
             Bad::Coding => "the only transfer coding is chunked",
             Bad::Chunk => "a chunk of the body is malformed",
             Bad::BodyTooLong => "the body is too long",
+            Bad::TooSlow => "the request did not come in time",
         })
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -40,23 +40,26 @@
     pub connections: usize,
     /// Idle time between requests.
     pub idle: Duration,
-    /// From a request's first byte to its last.
+    /// From a request's first byte to its last; for the first request, from its connection on.
     pub request: Duration,
     /// Writing an answer.
     pub write: Duration,
 }
 
 impl Limits {
-    /// The usual times, for so many connections.
+    /// The usual times, for so many connections. A client that sends nothing of use is owed an error or a close
+    /// within 3 s of its connecting, and one that has asked may keep its connection for longer.
     pub fn for_connections(connections: usize) -> Self {
-        let seconds = Duration::from_secs;
-        Limits { connections, idle: seconds(75), request: seconds(10), write: seconds(10) }
+        let millis = Duration::from_millis;
+        Limits { connections, idle: millis(10_000), request: millis(2200), write: millis(3000) }
     }
 }
 
 /// After a last answer, the time in which what the client still sends is read away, so that a reset does
 /// not overtake the answer.
 const LINGER: Duration = Duration::from_millis(500);
+/// The most that is read away then: a client with 60 MB to send would keep the one thread busy.
+const MOST_LINGER: usize = 256 * 1024;
 /// The wait after an accept that failed, for want of descriptors for example.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -68,8 +71,9 @@
     open: Cell<usize>,
     last: Cell<u64>,
     draining: Cell<bool>,
-    /// Connections that stand idle, longest first, and how to close each.
-    idle: RefCell<BTreeMap<u64, Sender<Reason>>>,
+    /// Connections that stand idle, those that never asked first and then longest first, and how to close each.
+    /// Silent connections by the hundred must not push out those of clients who ask.
+    idle: RefCell<BTreeMap<(bool, u64), Sender<Reason>>>,
     /// Signalled when a connection has ended.
     ended: (Sender<()>, Receiver<()>),
 }
@@ -116,7 +120,11 @@
                 let _ = self.ended.1.recv().await;
             }
             match listener.accept().await {
-                Ok((stream, peer)) => self.welcome(stream, peer),
+                Ok((stream, peer)) => {
+                    self.welcome(stream, peer);
+                    // Its first bytes are looked at before the next connection may push it out.
+                    future::yield_now().await;
+                }
                 // No descriptor is left: connections wait in the queue until one is.
                 Err(error) => {
                     log::line(&format!("accept failed: {error}"));
@@ -138,7 +146,7 @@
         self.open.set(self.open.get() + 1);
         let server = self.clone();
         let task = async move {
-            let mut connection = Connection { server: &server, stream, requests: 0 };
+            let mut connection = Connection { server: &server, stream, requests: 0, since: Instant::now() };
             let reason = match refused {
                 true => connection.refuse().await,
                 false => connection.serve().await.unwrap_or(Reason::Reset),
@@ -157,6 +165,8 @@
     server: &'s Server,
     stream: TcpStream,
     requests: u64,
+    /// When it was accepted.
+    since: Instant,
 }
 
 /// What a wait for a request brought.
@@ -178,7 +188,7 @@
                     let response = self.server.handler.bad(bad);
                     self.write(&response.bytes(false, true)).await?;
                     self.linger().await;
-                    return Ok(Reason::Malformed);
+                    return Ok(if bad == Bad::TooSlow { Reason::TooSlow } else { Reason::Malformed });
                 }
             };
             self.requests += 1;
@@ -196,6 +206,8 @@
                 self.linger().await;
                 return Ok(if self.server.draining.get() { Reason::Shutdown } else { Reason::Done });
             }
+            // Requests that are answered at once may come in any number: others have their turn between them.
+            future::yield_now().await;
         }
     }
 
@@ -221,7 +233,8 @@
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
             }
             let read = if parser.is_inside() {
-                let begun = *begun.get_or_insert_with(Instant::now);
+                let first = self.requests == 0;
+                let begun = *begun.get_or_insert_with(|| if first { self.since } else { Instant::now() });
                 let limit = begun + self.server.limits.request;
                 let read = async { self.stream.read(&mut bytes).await.map(Ok) };
                 future::or(read, async {
@@ -233,6 +246,7 @@
                 self.read_idle(&mut bytes).await?
             };
             match read {
+                Err(Reason::TooSlow) => return Ok(Next::Bad(Bad::TooSlow)),
                 Ok(0) if parser.is_inside() => return Ok(Next::End(Reason::Malformed)),
                 Ok(0) => return Ok(Next::End(Reason::PeerClosed)),
                 Ok(count) => parser.push(&bytes[..count]),
@@ -244,10 +258,11 @@
     /// Reads while the connection stands idle, when it may be closed at any time.
     async fn read_idle(&mut self, bytes: &mut [u8]) -> io::Result<Result<usize, Reason>> {
         let (close, closed): (Sender<Reason>, Receiver<Reason>) = async_channel::bounded(1);
-        let number = self.server.last.get() + 1;
-        self.server.last.set(number);
-        self.server.idle.borrow_mut().insert(number, close);
-        let limit = self.server.limits.idle;
+        self.server.last.set(self.server.last.get() + 1);
+        let asked = self.requests > 0;
+        let key = (asked, self.server.last.get());
+        self.server.idle.borrow_mut().insert(key, close);
+        let limit = if asked { self.server.limits.idle } else { self.server.limits.request };
         let read = async { self.stream.read(bytes).await.map(Ok) };
         let idle = async {
             Timer::after(limit).await;
@@ -255,7 +270,7 @@
         };
         let closed = async { Ok(Err(closed.recv().await.unwrap_or(Reason::Shutdown))) };
         let read = future::or(read, future::or(idle, closed)).await;
-        self.server.idle.borrow_mut().remove(&number);
+        self.server.idle.borrow_mut().remove(&key);
         read
     }
 
@@ -273,7 +288,16 @@
     async fn linger(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Write);
         let mut bytes = [0; 4096];
-        let drain = async { while self.stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {} };
+        let drain = async {
+            let mut left = MOST_LINGER;
+            while let Ok(count) = self.stream.read(&mut bytes).await {
+                left = left.saturating_sub(count);
+                if count == 0 || left == 0 {
+                    break;
+                }
+                future::yield_now().await;
+            }
+        };
         future::or(drain, async {
             Timer::after(LINGER).await;
         })
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -106,6 +106,7 @@
         if let Some(place) = self.places.borrow_mut().get_mut(&replica) {
             place.connections.retain(|known| !Rc::ptr_eq(known, &connection));
         }
+        self.forget(&replica);
         self.open.set(self.open.get() - 1);
         // Run stores close connections between requests as they like. What had not begun to be written goes on
         // another connection: that this one ended is no sign that the run store cannot be reached.
@@ -123,6 +124,14 @@
         }
     }
 
+    /// Keeps nothing of a run store that is retired and has no connection left: most never come back.
+    fn forget(&self, replica: &ReplicaId) {
+        let mut places = self.places.borrow_mut();
+        if places.get(replica).is_some_and(|place| place.retired && place.connections.is_empty()) {
+            places.remove(replica);
+        }
+    }
+
     fn put(self: &Rc<Self>, call: Call, push: fn(&mut Link, Call)) {
         match self.connection(&call.replica) {
             Some(connection) => {
@@ -288,6 +297,11 @@
             connection.close(Reason::Retired);
             self.report(ended);
         });
+        self.forget(replica);
+    }
+
+    fn places(&self) -> usize {
+        self.places.borrow().len()
     }
 
     fn locate(&self, replica: &ReplicaId, address: SocketAddr, started: Option<Millis>) {
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -154,6 +154,7 @@
                 lost.extend(place.queue.drain(..).map(|job| (job.no(), Outcome::ConnectFailed)));
             }
         }
+        self.forget(&replica);
         self.open.set(self.open.get() - 1);
         match worker.stage.get() {
             Stage::Begun(no) => lost.push((no, Outcome::ConnectFailed)),
@@ -174,6 +175,14 @@
         self.pump(&replica);
     }
 
+    /// Keeps nothing of a run store that is retired and has no connection left: most never come back.
+    fn forget(&self, replica: &ReplicaId) {
+        let mut places = self.places.borrow_mut();
+        if places.get(replica).is_some_and(|place| place.retired && place.workers.is_empty()) {
+            places.remove(replica);
+        }
+    }
+
     async fn talk(self: &Rc<Self>, replica: &ReplicaId, address: SocketAddr, worker: &Worker) -> Reason {
         let mut client = match Client::connect(address, self.limits.connect, MOST_ANSWER).await {
             Ok(client) => client,
@@ -338,6 +347,11 @@
         // What is not wholly written has not run, and must not be sent any more.
         self.close(replica, Reason::Retired, |stage| !matches!(stage, Stage::Written(_)));
         queued.unwrap_or_default().iter().for_each(|job| self.end(job, Outcome::NotSent));
+        self.forget(replica);
+    }
+
+    fn places(&self) -> usize {
+        self.places.borrow().len()
     }
 
     fn locate(&self, replica: &ReplicaId, address: SocketAddr, started: Option<Millis>) {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 
 use std::io::{Read, Write};
 use std::sync::Arc;
+use std::time::Duration;
 
 use aggregator::{answer, line, Aggregator};
 use serde_json::json;
@@ -448,6 +449,72 @@
     }
 }
 
+#[test]
+fn a_client_that_sends_nothing_or_half_a_request_is_answered_or_closed_in_time() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        let mut silent = aggregator.connect();
+        let mut slow = aggregator.connect();
+        slow.write_all(b"POST /run-lookup HTTP/1.1\r\nX-Requ").unwrap();
+        let mut half = aggregator.connect();
+        half.write_all(b"POST /run-lookup HTTP/1.1\r\nContent-Length: 9\r\n\r\n{").unwrap();
+        for stream in [&mut silent, &mut slow, &mut half] {
+            // Far more than it takes, and far less than a connection may stand idle between requests.
+            stream.set_read_timeout(Some(Duration::from_secs(9))).unwrap();
+        }
+        assert_eq!(silent.read(&mut [0]).unwrap(), 0, "{wire:?}: closed");
+        for stream in [&mut slow, &mut half] {
+            assert_eq!(answer(stream).status, 408, "{wire:?}");
+            assert_eq!(stream.read(&mut [0]).unwrap(), 0, "{wire:?}: closed");
+        }
+    }
+}
+
+#[test]
+fn silent_connections_do_not_push_out_one_that_has_asked() {
+    for wire in WIRES {
+        let aggregator = Aggregator::changed(wire, 1, |config, _| config["limits"]["sockets"] = json!(128));
+        let mut usual = aggregator.connect();
+        let mut silent = Vec::new();
+        for _ in 0..3 {
+            usual.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+            assert_eq!(answer(&mut usual).status, 200, "{wire:?}");
+            // There is room for 42 connections in all.
+            silent.extend((0..60).map(|_| aggregator.connect()));
+            let line = aggregator.logged("code=full");
+            assert!(line.contains("requests=0"), "{wire:?}: {line}");
+        }
+    }
+}
+
+#[test]
+fn a_body_of_60_mb_is_refused_unread_while_others_are_served() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        let mut huge = aggregator.connect();
+        huge.write_all(b"POST /run-lookup HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").unwrap();
+        let chunk = vec![b'x'; 1 << 20];
+        let taken = (0..60).take_while(|_| huge.write_all(&chunk).is_ok()).count();
+        assert!(taken < 60, "{wire:?}: the connection was closed after {taken} MB");
+        assert!(aggregator.ask("run-lookup", &[0], 8000).whole(), "{wire:?}");
+    }
+}
+
+#[test]
+fn nothing_is_kept_of_run_stores_that_are_gone() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        assert!(aggregator.ask("run-lookup", &[0, 1, 2, 3], 8000).whole(), "{wire:?}");
+        let gone = line(0, aggregator.stores[0], "gone", 0);
+        aggregator.board.tell(json!([gone]));
+        // Its connection is closed as it carries nothing.
+        aggregator.logged("end run_store");
+        let counters = aggregator.counters();
+        assert!(counters.contains("run_stores=1 places=1\n"), "{wire:?}: {counters}");
+        assert!(aggregator.ask("run-lookup", &[0, 1, 2, 3], 8000).whole(), "{wire:?}");
+    }
+}
+
 #[test]
 fn an_id_that_is_held_is_not_taken_twice() {
     let aggregator = Aggregator::start(Wire::Frames, 1);
