Send nothing more on a connection that has fallen silent, and open a further one

At fault: frames/link.rs called a connection suspect only if a call was given up 1.5 s after it was written, more than an aim here, so every part for that run store went on the dead connection; its silence then looked like the run store's, which was parked (or not, as a quarter of the fleet was), and parts waited for their aim. Ruled out: the run stores (they answer on a new connection at once), the rate (CPU 0.26 of a core), descriptors (161 of 1024). Now a connection with a call out and nothing heard for five usual answers, as smoothed on it, takes no new calls; another comes up, four at most for each run store. What is out on the old one is still waited for; answers on the new one let the router see what has been passed over. If it speaks again, it is used again. A search of the other wire is alone on its connection and was not hit.

Tests: the time of silence in the connection's states; on sockets, over both wires, one muted connection does not stop a run store's others; it fails without the change on frames.

--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -15,6 +15,12 @@
 /// Silence after which a call that is given up makes its connection suspect: the machine may have vanished.
 const SILENCE: Duration = Duration::from_millis(1500);
 
+/// Silence of so many usual answers, with something out, looks like a connection that has fallen silent. One that
+/// is only slow costs a further connection by that, as what is out on it is still waited for.
+const SILENT_OF_USUAL: u32 = 5;
+/// The weight of an answer in the usual time of answers is one in so many.
+const USUAL_OF: u32 = 8;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     Queued,
@@ -68,11 +74,13 @@
     inside: Option<Instant>,
     heard: Instant,
     suspect: bool,
+    /// How long answers take, smoothed.
+    usual: Duration,
 }
 
 impl Link {
-    /// A connection's state at its start.
-    pub fn new(bundle: usize, now: Instant) -> Self {
+    /// A connection's state at its start; answers are taken to need some usual time until some have come.
+    pub fn new(bundle: usize, now: Instant, usual: Duration) -> Self {
         Link {
             bundle: bundle.max(1),
             queue: VecDeque::new(),
@@ -84,6 +92,7 @@
             inside: None,
             heard: now,
             suspect: false,
+            usual,
         }
     }
 
@@ -97,11 +106,31 @@
         self.calls.is_empty() && self.queue.is_empty() && self.writing.is_empty() && self.probes.is_empty()
     }
 
-    /// Whether it fell silent with something out: nothing new should go on it.
+    /// Whether it fell silent with something out, for good as far as can be told.
     pub fn is_suspect(&self) -> bool {
         self.suspect
     }
 
+    /// Whether nothing new should go on it, as something has long been out and nothing comes.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let written = self.calls.values().filter_map(|held| match held.stage {
+            Stage::Written(at) => Some(at),
+            _ => None,
+        });
+        let since = written.min().map(|at| at.max(self.heard));
+        self.suspect || since.is_some_and(|since| now - since >= self.usual * SILENT_OF_USUAL)
+    }
+
+    /// When something was last heard on it.
+    pub fn heard(&self) -> Instant {
+        self.heard
+    }
+
+    /// How long answers usually take on it.
+    pub fn usual(&self) -> Duration {
+        self.usual
+    }
+
     /// Since when a frame has been coming in that is not whole. One that never ends swallows all that follows.
     pub fn inside_since(&self) -> Option<Instant> {
         self.inside
@@ -224,7 +253,9 @@
                         }
                         return Err(format!("an end of the part {part:?}, which is not out here"));
                     };
-                    self.calls.remove(&no);
+                    if let Some(Held { stage: Stage::Written(at), .. }) = self.calls.remove(&no) {
+                        self.usual = (self.usual * (USUAL_OF - 1) + (self.heard - at)) / USUAL_OF;
+                    }
                     self.pass(part);
                     let (outcome, value) = match end {
                         End::Served => (Outcome::Completed, Some(value)),
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -24,6 +24,11 @@
 
 /// The longest a frame may take to be written. A run store that reads nothing for so long is no use.
 const WRITE_LIMIT: Duration = Duration::from_secs(2);
+/// Connections to one run store at once, silent ones included: one that answers on none is not met by a storm.
+const MOST_AT_ONE: usize = 4;
+/// Before any answer, the usual time of answers is this share of the time in which a connection comes up.
+const FIRST_USUAL: f64 = 0.4;
+
 #[derive(Default)]
 struct Place {
     at: Option<At>,
@@ -69,23 +74,29 @@
     /// A connection with room, or a new one; `None` if there may be no more.
     ///
     /// While one is coming up, what follows waits for it: a run store that has just started meets one new
-    /// connection of this aggregator, not one for each part.
+    /// connection of this aggregator, not one for each part. A connection may fall silent by itself: what follows
+    /// goes on a new one, and the router learns from answers on that one what is lost on the old.
     fn connection(self: &Rc<Self>, replica: &ReplicaId) -> Option<Rc<Connection>> {
         let mut places = self.places.borrow_mut();
         let place = places.get_mut(replica).filter(|place| !place.retired)?;
         let (address, _) = place.at?;
+        let now = Instant::now();
         let room = |c: &&Rc<Connection>| {
             let link = c.link.borrow();
             c.closing.get().is_none() && !link.is_suspect() && link.load() < self.limits.streams
         };
-        if let Some(connection) = place.connections.iter().find(room) {
+        let speaks = |c: &&Rc<Connection>| room(c) && !c.link.borrow().is_silent(now);
+        if let Some(connection) = place.connections.iter().find(speaks) {
             return Some(connection.clone());
         }
-        if self.open.get() >= self.limits.connections {
-            return None;
+        let last = place.connections.iter().filter(room).max_by_key(|c| c.link.borrow().heard());
+        let many = last.is_some() && place.connections.len() >= MOST_AT_ONE;
+        if many || self.open.get() >= self.limits.connections {
+            return last.cloned();
         }
+        let usual = last.map_or(self.limits.connect.mul_f64(FIRST_USUAL), |c| c.link.borrow().usual());
         let connection = Rc::new(Connection {
-            link: RefCell::new(Link::new(self.limits.bundle, Instant::now())),
+            link: RefCell::new(Link::new(self.limits.bundle, now, usual)),
             signal: async_channel::bounded(1),
             closing: Cell::new(None),
             kill: async_channel::bounded(1),
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -33,6 +33,8 @@
     Unsent,
 }
 
+const USUAL: Duration = Duration::from_millis(100);
+
 fn call(no: u64) -> Call {
     Call {
         no: CallNo(no),
@@ -77,7 +79,7 @@
 
 fn walk(bundle: usize, steps: &[Step]) -> Result<(), TestCaseError> {
     let start = Instant::now();
-    let mut link = Link::new(bundle, start);
+    let mut link = Link::new(bundle, start, USUAL);
     let mut model: BTreeMap<u64, Stands> = BTreeMap::new();
     // Given up while being written: the run store is told, the core has booked the end.
     let mut writing = false;
@@ -200,7 +202,7 @@
     let now = Instant::now();
     let bytes = [answer("q0.0", 'S'), answer("q1.0", 'E')].concat();
     for cut in 0..bytes.len() {
-        let mut link = Link::new(1, now);
+        let mut link = Link::new(1, now, USUAL);
         for no in 0..2 {
             link.push(call(no));
             link.next_frame(|_| 5).unwrap();
@@ -220,7 +222,7 @@
 #[test]
 fn a_connection_that_is_silent_long_after_a_call_takes_no_more() {
     let start = Instant::now();
-    let mut link = Link::new(1, start);
+    let mut link = Link::new(1, start, USUAL);
     link.push(call(0));
     link.next_frame(|_| 5).unwrap();
     link.written(start + Duration::from_millis(1));
@@ -237,13 +239,13 @@
 #[test]
 fn oversized_and_malformed_frames_are_errors_not_panics() {
     for bytes in [&[0, 0, 0, 0][..], &[255, 255, 255, 255], &[2, 0, 0, 0, b'5', b'x'], &[1, 0, 0, 0, b'q']] {
-        assert!(Link::new(1, Instant::now()).read(bytes, Instant::now()).1.is_err(), "{bytes:?}");
+        assert!(Link::new(1, Instant::now(), USUAL).read(bytes, Instant::now()).1.is_err(), "{bytes:?}");
     }
 }
 
 /// A connection on which so many calls are out.
 fn out(calls: u64, now: Instant) -> Link {
-    let mut link = Link::new(1, now);
+    let mut link = Link::new(1, now, USUAL);
     for no in 0..calls {
         link.push(call(no));
         link.next_frame(|_| 5).unwrap();
@@ -303,3 +305,18 @@
     assert_eq!(link.inside_since(), Some(now), "more of it does not start its time anew");
     assert!(out(1, now).read(&(1_000_000u32).to_le_bytes(), now).1.is_err());
 }
+
+#[test]
+fn a_connection_with_nothing_heard_for_five_usual_answers_is_silent_until_it_speaks() {
+    let now = Instant::now();
+    let after = |millis| now + Duration::from_millis(millis);
+    let mut link = out(2, now);
+    assert!(!link.is_silent(after(499)) && link.is_silent(after(500)));
+    assert!(!link.is_suspect(), "it may only be slow");
+    // It speaks again: the other call is still out, and its time starts anew.
+    assert_eq!(link.read(&answer("q0.0", 'S'), after(600)).0.len(), 1);
+    assert!(!link.is_silent(after(700)));
+    assert!(link.usual() > USUAL, "slow answers make it patient");
+    assert_eq!(link.read(&answer("q1.0", 'S'), after(610)).0.len(), 1);
+    assert!(!link.is_silent(after(60_000)), "nothing is out");
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -358,6 +358,23 @@
     }
 }
 
+#[test]
+fn a_connection_that_falls_silent_is_not_taken_for_its_run_store() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Mute);
+        let held = aggregator.begin("shift-entry", &[0], 9000);
+        aggregator.board.wait("the part", |state| state.parts.len() == 1);
+        aggregator.board.act(0, Act::Serve);
+        // Its part may not go again. Others are served by the same run store on another connection.
+        for _ in 0..3 {
+            let answer = aggregator.ask("run-lookup", &[1], 8000);
+            assert!(answer.whole(), "{wire:?}: {answer:?}");
+        }
+        drop(held);
+    }
+}
+
 #[test]
 fn opensearch_errors_and_answers_have_their_published_form() {
     let aggregator = Aggregator::start(Wire::OpenSearch, 1);
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -32,6 +32,8 @@
     Half,
     /// It is taken, and the connection breaks.
     Break,
+    /// It is taken, and its connection stays open and says nothing from then on.
+    Mute,
     /// It is taken, and an answer begins that never ends.
     Stuck,
     /// A raw answer to a search, its connection closed after it.
@@ -181,6 +183,11 @@
                     Act::TurnAway => answer(b'5', format!("{id} B 7 -\n").as_bytes())?,
                     Act::Silent | Act::Half => {}
                     Act::Break => return Ok(()),
+                    Act::Mute => {
+                        // Until the aggregator closes it.
+                        while stream.read(&mut [0; 64])? > 0 {}
+                        return Ok(());
+                    }
                     Act::Stuck => send.write_all(b"\0\x10\0\x005begun")?,
                     Act::Raw(_) => answer(b'?', b"what")?,
                 }
@@ -234,7 +241,7 @@
             }
             Act::Error => respond(&mut stream, "500 Internal Server Error", "{\"error\":{},\"status\":500}")?,
             Act::TurnAway => respond(&mut stream, "429 Too Many Requests", "{\"error\":{},\"status\":429}")?,
-            Act::Silent | Act::Half => {
+            Act::Silent | Act::Half | Act::Mute => {
                 // The search is given up by closing its connection.
                 let left = stream.read(&mut [0; 1])?;
                 assert_eq!(left, 0, "nothing follows a search that is out");
