Let kept connections, not brand-new ones, make room for a new one; log how long each lasted

Checked on sockets by the new test: with kept connections for all of the room, each new connection closed the one before it, whose first request had not come yet. Now they do if they have said nothing for 500 ms, or hold half of the room; else the connection kept longest goes. The log line of a client's connection tells how long it lasted.

Test, over both wires: five new connections all get their answer while 42 kept ones stand idle; it fails without the change.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -60,6 +60,10 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// The most that is read away then: a client with 60 MB to send would keep the one thread busy.
 const MOST_LINGER: usize = 256 * 1024;
+/// The time in which the first byte of a client that means to ask has come.
+const FIRST_BYTE: Duration = Duration::from_millis(500);
+/// The first place in the order of idle connections of one that has asked.
+const ASKED: (bool, u64) = (true, 0);
 /// The wait after an accept that failed, for want of descriptors for example.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -71,9 +75,8 @@
     open: Cell<usize>,
     last: Cell<u64>,
     draining: Cell<bool>,
-    /// Connections that stand idle, those that never asked first and then longest first, and how to close each.
-    /// Silent connections by the hundred must not push out those of clients who ask.
-    idle: RefCell<BTreeMap<(bool, u64), Sender<Reason>>>,
+    /// Connections that stand idle, those that never asked first and then longest first.
+    idle: RefCell<BTreeMap<(bool, u64), Idle>>,
     /// Signalled when a connection has ended.
     ended: (Sender<()>, Receiver<()>),
 }
@@ -105,7 +108,7 @@
 
     /// Closes the connections that stand idle.
     pub fn close_idle(&self, reason: Reason) {
-        for close in std::mem::take(&mut *self.idle.borrow_mut()).into_values() {
+        for (_, close) in std::mem::take(&mut *self.idle.borrow_mut()).into_values() {
             let _ = close.try_send(reason);
         }
     }
@@ -136,9 +139,21 @@
     }
 
     /// Makes room; says whether a connection stood idle.
+    ///
+    /// Silent connections by the hundred must not push out those of clients who ask, so that one which has long
+    /// said nothing goes first, or any once they hold half of the room. But a new one is silent until its first
+    /// request has come: where clients keep theirs, the longest kept makes room for it.
     fn close_longest_idle(&self) -> bool {
-        let longest = self.idle.borrow_mut().pop_first();
-        longest.is_some_and(|(_, close)| close.try_send(Reason::Full).is_ok())
+        let mut idle = self.idle.borrow_mut();
+        let silent = idle.range(..ASKED).next().map(|(key, (since, _))| (*key, since.elapsed()));
+        let many = idle.range(..ASKED).count() > self.limits.connections / 2;
+        let kept = idle.range(ASKED..).next().map(|(key, _)| *key);
+        let longest = match silent {
+            Some((key, stood)) if many || stood >= FIRST_BYTE || kept.is_none() => Some(key),
+            _ => kept,
+        };
+        let close = longest.and_then(|key| idle.remove(&key));
+        close.is_some_and(|(_, close)| close.try_send(Reason::Full).is_ok())
     }
 
     fn welcome(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
@@ -151,16 +166,19 @@
                 true => connection.refuse().await,
                 false => connection.serve().await.unwrap_or(Reason::Reset),
             };
-            let requests = connection.requests;
+            let (requests, lasted) = (connection.requests, connection.since.elapsed().as_millis());
             drop(connection);
             server.open.set(server.open.get() - 1);
             let _ = server.ended.0.try_send(());
-            log::ended("client", Some(peer), reason, format_args!("requests={requests}"));
+            log::ended("client", Some(peer), reason, format_args!("requests={requests} ms={lasted}"));
         };
         self.executor.spawn(task).detach();
     }
 }
 
+/// Since when a connection stands idle, and how to close it.
+type Idle = (Instant, Sender<Reason>);
+
 struct Connection<'s> {
     server: &'s Server,
     stream: TcpStream,
@@ -261,7 +279,7 @@
         self.server.last.set(self.server.last.get() + 1);
         let asked = self.requests > 0;
         let key = (asked, self.server.last.get());
-        self.server.idle.borrow_mut().insert(key, close);
+        self.server.idle.borrow_mut().insert(key, (Instant::now(), close));
         let limit = if asked { self.server.limits.idle } else { self.server.limits.request };
         let read = async { self.stream.read(bytes).await.map(Ok) };
         let idle = async {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -504,6 +504,29 @@
     }
 }
 
+#[test]
+fn a_new_connection_is_not_closed_for_the_next_while_kept_ones_stand_idle() {
+    for wire in WIRES {
+        let aggregator = Aggregator::changed(wire, 1, |config, _| config["limits"]["sockets"] = json!(128));
+        let ask = b"GET /healthz HTTP/1.1\r\n\r\n";
+        // Clients that ask once and keep their connections, for all of the room there is.
+        let mut kept: Vec<_> = (0..42).map(|_| aggregator.connect()).collect();
+        for stream in &mut kept {
+            stream.write_all(ask).unwrap();
+            assert_eq!(answer(stream).status, 200, "{wire:?}");
+        }
+        let mut new: Vec<_> = (0..5).map(|_| aggregator.connect()).collect();
+        for _ in 0..5 {
+            let line = aggregator.logged("code=full");
+            assert!(line.contains("requests=1"), "{wire:?}: {line}");
+        }
+        for stream in &mut new {
+            stream.write_all(ask).unwrap();
+            assert_eq!(answer(stream).status, 200, "{wire:?}");
+        }
+    }
+}
+
 #[test]
 fn a_body_of_60_mb_is_refused_unread_while_others_are_served() {
     for wire in WIRES {
