Close connections kept without a request after 2 s, and beyond a quarter of the room

In the log, second by second, clients ask once and keep their connections (110 to 120 of them on each aggregator at any time), and the one stretch with few failures is the one in which a thousand kept connections were closed for want of room. A third of the 384 descriptors is what clients may hold for requests. At fault: server.rs let kept connections stand until their number met the limit on all, so clients had none left to ask on. Ruled out: unread bytes on silent connections (none on 1504), answers of 4xx, run stores, CPU, memory.

Test, over both wires: the eleventh of kept connections has the first one closed where there is room for 42; it fails without the change.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -51,7 +51,7 @@
     /// within 3 s of its connecting, and one that has asked may keep its connection for longer.
     pub fn for_connections(connections: usize) -> Self {
         let millis = Duration::from_millis;
-        Limits { connections, idle: millis(10_000), request: millis(2200), write: millis(3000) }
+        Limits { connections, idle: millis(2000), request: millis(2200), write: millis(3000) }
     }
 }
 
@@ -62,6 +62,8 @@
 const MOST_LINGER: usize = 256 * 1024;
 /// The time in which the first byte of a client that means to ask has come.
 const FIRST_BYTE: Duration = Duration::from_millis(500);
+/// Connections kept without a request may take one in so many of the room.
+const KEPT_SHARE: usize = 4;
 /// The first place in the order of idle connections of one that has asked.
 const ASKED: (bool, u64) = (true, 0);
 /// The wait after an accept that failed, for want of descriptors for example.
@@ -156,6 +158,18 @@
         close.is_some_and(|(_, close)| close.try_send(Reason::Full).is_ok())
     }
 
+    /// Closes the connection kept longest where clients keep too many: those who ask once and stay would hold the
+    /// room that others need for their requests.
+    fn close_kept(&self) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.range(ASKED..).count() > self.limits.connections / KEPT_SHARE {
+            let longest = idle.range(ASKED..).next().map(|(key, _)| *key);
+            if let Some((_, close)) = longest.and_then(|key| idle.remove(&key)) {
+                let _ = close.try_send(Reason::Full);
+            }
+        }
+    }
+
     fn welcome(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
         let refused = self.open.get() >= self.limits.connections && !self.close_longest_idle();
         self.open.set(self.open.get() + 1);
@@ -280,6 +294,7 @@
         let asked = self.requests > 0;
         let key = (asked, self.server.last.get());
         self.server.idle.borrow_mut().insert(key, (Instant::now(), close));
+        self.server.close_kept();
         let limit = if asked { self.server.limits.idle } else { self.server.limits.request };
         let read = async { self.stream.read(bytes).await.map(Ok) };
         let idle = async {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -527,6 +527,24 @@
     }
 }
 
+#[test]
+fn connections_kept_without_a_request_take_a_quarter_of_the_room_at_most() {
+    for wire in WIRES {
+        let aggregator = Aggregator::changed(wire, 1, |config, _| config["limits"]["sockets"] = json!(128));
+        let mut kept = Vec::new();
+        // There is room for 42 connections: ten may stand idle.
+        for _ in 0..11 {
+            let mut stream = aggregator.connect();
+            stream.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+            assert_eq!(answer(&mut stream).status, 200, "{wire:?}");
+            kept.push(stream);
+        }
+        let line = aggregator.logged("end client");
+        assert!(line.contains("code=full requests=1"), "{wire:?}: {line}");
+        assert_eq!(kept[0].read(&mut [0]).unwrap(), 0, "{wire:?}: the one kept longest");
+    }
+}
+
 #[test]
 fn a_body_of_60_mb_is_refused_unread_while_others_are_served() {
     for wire in WIRES {
