Give operators an address of their own, with health and a drain by hand

Nothing listened for operators, and /healthz said 200 whatever happened (both fronts' `handle`), also after SIGTERM. Now `operator/` answers calls on its own listener and `http/door.rs` is the one state that the server's connections, both fronts' /healthz and the calls share. The drain that SIGTERM had alone (service.rs) runs in the server whenever the door is shut. Ruled out: a drain in each front, as connections are the server's; closing all idle ones at once, as clients still use them for 200 ms.

Tests on sockets, over both wires: the drain ends idle, silent and answered connections and is undone; 60 half calls and clients that take all their room delay no operator; unknown paths and methods get a 4xx. None of them passes without the change.

--- a/src/config.rs
+++ b/src/config.rs
@@ -13,7 +13,7 @@
 use crate::directory::list::List;
 use crate::settings::Info;
 
-/// Descriptors kept for everything but connections: standard streams, the reactor, the listener, discovery.
+/// Descriptors kept for everything else: standard streams, the reactor, listeners, discovery, operators' calls.
 const SPARE_DESCRIPTORS: usize = 64;
 const LEAST_DESCRIPTORS: usize = 128;
 
@@ -24,6 +24,9 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call; where it is not set, nobody can.
+    #[serde(default)]
+    pub operator: Option<SocketAddr>,
     /// Where discovery listens; either this or `dns_sd` is set.
     #[serde(default)]
     pub discovery: Option<SocketAddr>,
@@ -119,7 +122,12 @@
     /// Says which key is at fault.
     pub fn load(path: &Path) -> Result<Self, String> {
         let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))
+        let mut config = Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))?;
+        if let (None, Ok(address)) = (config.operator, env::var("GW_OPERATOR")) {
+            let address = address.parse().map_err(|_| format!("key GW_OPERATOR: {address} is no address"))?;
+            config.operator = Some(address);
+        }
+        Ok(config)
     }
 
     /// The keys in which another configuration differs and which only a restart takes up. What a reload takes
@@ -131,6 +139,7 @@
         let changed = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("operator", self.operator != new.operator),
             ("dns_sd", self.dns_sd.is_some() != new.dns_sd.is_some()),
             ("store", self.store != new.store),
             ("limits", self.limits != new.limits),
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::core::drive::Driver;
 use crate::core::{Ask, AskPart, NotTaken, Verdict};
+use crate::http::door::Door;
 use crate::http::parse::{Bad, Message};
 use crate::http::server::{Handler, Local};
 use crate::http::write::Response;
@@ -29,14 +30,15 @@
 /// The front.
 pub struct OpenSearch {
     driver: Rc<Driver>,
+    door: Rc<Door>,
     shards: u32,
     last: Cell<u64>,
 }
 
 impl OpenSearch {
-    /// A front before a driver, over so many shards.
-    pub fn new(driver: Rc<Driver>, shards: u32) -> Self {
-        OpenSearch { driver, shards, last: Cell::new(0) }
+    /// A front before a driver, behind a door, over so many shards.
+    pub fn new(driver: Rc<Driver>, door: Rc<Door>, shards: u32) -> Self {
+        OpenSearch { driver, door, shards, last: Cell::new(0) }
     }
 
     fn refuse(&self, Refusal(status, kind, why): Refusal) -> Response {
@@ -76,7 +78,7 @@
     fn handle(&self, request: Message) -> Local<Response> {
         let opaque = request.headers.get("x-opaque-id").map(str::to_string);
         let response = match (request.start.0.as_str(), request.start.1.as_str()) {
-            ("GET", "/healthz") => Response::text(200, "ready"),
+            ("GET", "/healthz") => crate::front::health(&self.door),
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
             ("GET" | "POST", _) => {
                 let read = Search::read(&request, self.shards);
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -8,6 +8,7 @@
 
 use crate::core::drive::{Driver, Pending};
 use crate::core::{Ask, AskPart, NotTaken, Verdict};
+use crate::http::door::Door;
 use crate::http::parse::{Bad, Message};
 use crate::http::server::{Handler, Local};
 use crate::http::write::Response;
@@ -49,6 +50,7 @@
 /// The platform's front.
 pub struct Platform {
     driver: Rc<Driver>,
+    door: Rc<Door>,
     /// Ids of queries that are held: part ids on the wire are made from them and must not meet.
     held: Rc<RefCell<HashSet<String>>>,
 }
@@ -66,9 +68,9 @@
 }
 
 impl Platform {
-    /// A front before a driver.
-    pub fn new(driver: Rc<Driver>) -> Self {
-        Platform { driver, held: Rc::default() }
+    /// A front before a driver, behind a door.
+    pub fn new(driver: Rc<Driver>, door: Rc<Door>) -> Self {
+        Platform { driver, door, held: Rc::default() }
     }
 
     fn query(&self, request: &Message, path: &str) -> Result<(Held, Pending), Response> {
@@ -94,7 +96,7 @@
     fn handle(&self, request: Message) -> Local<Response> {
         let path = request.start.1.split('?').next().unwrap_or("");
         let response = match (request.start.0.as_str(), path) {
-            ("GET", "/healthz") => Response::text(200, "ready"),
+            ("GET", "/healthz") => super::health(&self.door),
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
             ("POST", _) => match self.query(&request, path) {
                 Ok((held, pending)) => {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1: parser, writer, limits, the server's connections and the client's calls.
 
 pub mod client;
+pub mod door;
 pub mod parse;
 pub mod server;
 pub mod write;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -16,6 +16,7 @@
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 
+use super::door::Door;
 use super::parse::{Bad, Kind, Message, Parser, MOST_BODY};
 use super::write::Response;
 use crate::log::{self, Reason};
@@ -44,6 +45,8 @@
     pub request: Duration,
     /// Writing an answer.
     pub write: Duration,
+    /// Whether a connection may carry another request.
+    pub keep: bool,
 }
 
 impl Limits {
@@ -51,10 +54,13 @@
     /// within 3 s of its connecting, and one that has asked may keep its connection for longer.
     pub fn for_connections(connections: usize) -> Self {
         let millis = Duration::from_millis;
-        Limits { connections, idle: millis(2000), request: millis(2200), write: millis(3000) }
+        Limits { connections, idle: millis(2000), request: millis(2200), write: millis(3000), keep: true }
     }
 }
 
+/// Once the door is shut, the front still sends new connections for a while, and clients use those they have:
+/// one that has stood idle for so long is not about to be used.
+pub const KEEP_IDLE: Duration = Duration::from_millis(500);
 /// After a last answer, the time in which what the client still sends is read away, so that a reset does
 /// not overtake the answer.
 const LINGER: Duration = Duration::from_millis(500);
@@ -71,12 +77,14 @@
 
 /// A listening server.
 pub struct Server {
+    /// Whose connections these are, for the log.
+    kind: &'static str,
     executor: Rc<LocalExecutor<'static>>,
     handler: Box<dyn Handler>,
     limits: Limits,
     open: Cell<usize>,
     last: Cell<u64>,
-    draining: Cell<bool>,
+    door: Rc<Door>,
     /// Connections that stand idle, those that never asked first and then longest first.
     idle: RefCell<BTreeMap<(bool, u64), Idle>>,
     /// Signalled when a connection has ended.
@@ -85,14 +93,21 @@
 
 impl Server {
     /// A server that answers by a handler.
-    pub fn new(executor: Rc<LocalExecutor<'static>>, handler: Box<dyn Handler>, limits: Limits) -> Rc<Self> {
+    pub fn new(
+        kind: &'static str,
+        executor: Rc<LocalExecutor<'static>>,
+        handler: Box<dyn Handler>,
+        limits: Limits,
+        door: Rc<Door>,
+    ) -> Rc<Self> {
         Rc::new(Server {
+            kind,
             executor,
             handler,
             limits,
             open: Cell::new(0),
             last: Cell::new(0),
-            draining: Cell::new(false),
+            door,
             idle: RefCell::default(),
             ended: async_channel::bounded(1),
         })
@@ -103,16 +118,27 @@
         self.open.get()
     }
 
-    /// From now on each answer is its connection's last.
-    pub fn drain(&self) {
-        self.draining.set(true);
+    /// The one drain, by hand or before the end: whenever the door is shut, connections that stand idle get a
+    /// moment in which they are still used, and are closed. Those that come later have the same moment each.
+    pub async fn drain(self: Rc<Self>) {
+        loop {
+            self.door.shut().await;
+            Timer::after(KEEP_IDLE).await;
+            if !self.door.is_open() {
+                self.close_idle(KEEP_IDLE);
+            }
+        }
     }
 
-    /// Closes the connections that stand idle.
-    pub fn close_idle(&self, reason: Reason) {
-        for (_, close) in std::mem::take(&mut *self.idle.borrow_mut()).into_values() {
-            let _ = close.try_send(reason);
-        }
+    /// Closes the connections that have stood idle for some time.
+    fn close_idle(&self, stood: Duration) {
+        self.idle.borrow_mut().retain(|_, (since, close)| {
+            let keep = since.elapsed() < stood;
+            if !keep {
+                let _ = close.try_send(Reason::Shutdown);
+            }
+            keep
+        });
     }
 
     /// Accepts connections for good.
@@ -184,7 +210,7 @@
             drop(connection);
             server.open.set(server.open.get() - 1);
             let _ = server.ended.0.try_send(());
-            log::ended("client", Some(peer), reason, format_args!("requests={requests} ms={lasted}"));
+            log::ended(server.kind, Some(peer), reason, format_args!("requests={requests} ms={lasted}"));
         };
         self.executor.spawn(task).detach();
     }
@@ -230,13 +256,14 @@
             let Some(response) = future::or(async { Some(answer.await) }, gone).await else {
                 return Ok(Reason::ClientGone);
             };
-            let keep_alive = keep_alive && !self.server.draining.get();
+            let open = self.server.door.is_open();
+            let keep_alive = keep_alive && open && self.server.limits.keep;
             if !self.write(&response.bytes(keep_alive, body)).await? {
                 return Ok(Reason::TooSlow);
             }
             if !keep_alive {
                 self.linger().await;
-                return Ok(if self.server.draining.get() { Reason::Shutdown } else { Reason::Done });
+                return Ok(if open { Reason::Done } else { Reason::Shutdown });
             }
             // Requests that are answered at once may come in any number: others have their turn between them.
             future::yield_now().await;
@@ -295,7 +322,11 @@
         let key = (asked, self.server.last.get());
         self.server.idle.borrow_mut().insert(key, (Instant::now(), close));
         self.server.close_kept();
-        let limit = if asked { self.server.limits.idle } else { self.server.limits.request };
+        let limit = match asked {
+            _ if !self.server.door.is_open() => KEEP_IDLE,
+            true => self.server.limits.idle,
+            false => self.server.limits.request,
+        };
         let read = async { self.stream.read(bytes).await.map(Ok) };
         let idle = async {
             Timer::after(limit).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod front;
 pub mod http;
 pub mod log;
+pub mod operator;
 pub mod service;
 #[allow(missing_docs)] // Its fields have the names that the settings object gives them.
 pub mod settings;
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,82 @@
+//! Operators' calls, on an address of their own: what clients do there delays none of them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_net::TcpListener;
+
+use crate::http::door::{Door, State};
+use crate::http::parse::{Bad, Message};
+use crate::http::server::{Handler, Limits, Local, Server};
+use crate::http::write::Response;
+use crate::log;
+
+/// The time for one call, and its connection.
+const CALL: Duration = Duration::from_secs(2);
+/// Calls at once, out of the descriptors that are kept back.
+const CONNECTIONS: usize = 32;
+
+/// What operators may call for.
+pub struct Operator {
+    door: Rc<Door>,
+}
+
+impl Operator {
+    /// Calls that act on the clients' door.
+    pub fn new(door: Rc<Door>) -> Self {
+        Operator { door }
+    }
+
+    /// Serves calls on a listener.
+    pub async fn serve(self, executor: Rc<LocalExecutor<'static>>, listener: TcpListener) {
+        let limits = Limits { connections: CONNECTIONS, idle: CALL, request: CALL, write: CALL, keep: false };
+        let server = Server::new("operator", executor, Box::new(self), limits, Rc::default());
+        server.accept(listener).await;
+    }
+
+    fn call(&self, method: &str, path: &str) -> Response {
+        let words: Vec<&str> = path.strip_prefix('/').unwrap_or(path).split('/').collect();
+        match (method, &words[..]) {
+            // A process that listens here serves; whether it wants clients is told at their address.
+            ("GET", ["healthcheck"]) => yes("ready"),
+            ("PUT", ["healthcheck", "fail"]) => self.turn(State::Shut, "draining"),
+            ("PUT", ["healthcheck", "ok"]) => self.turn(State::Open, "ready"),
+            (_, ["healthcheck"]) => wrong_method("GET"),
+            (_, ["healthcheck", "fail" | "ok"]) => wrong_method("PUT"),
+            _ => Response::text(404, "no such call"),
+        }
+    }
+
+    fn turn(&self, state: State, word: &str) -> Response {
+        if !self.door.by_hand(state) {
+            return Response::text(409, "the program is to end");
+        }
+        log::line(&format!("operator: {word}"));
+        yes(word)
+    }
+}
+
+fn yes(word: &str) -> Response {
+    Response::text(200, word)
+}
+
+fn wrong_method(spoken: &str) -> Response {
+    Response::text(405, &format!("this is a {spoken} call")).with("Allow", spoken)
+}
+
+impl Handler for Operator {
+    fn handle(&self, request: Message) -> Local<Response> {
+        let path = request.start.1.split('?').next().unwrap_or("");
+        let response = self.call(&request.start.0, path);
+        Box::pin(async move { response })
+    }
+
+    fn bad(&self, bad: Bad) -> Response {
+        Response::text(bad.status(), &bad.to_string())
+    }
+
+    fn full(&self) -> Response {
+        Response::text(503, "too many calls at once")
+    }
+}
--- a/src/service.rs
+++ b/src/service.rs
@@ -20,8 +20,10 @@
 use crate::directory::Reload;
 use crate::front::opensearch::OpenSearch;
 use crate::front::platform::Platform;
-use crate::http::server::{Handler, Limits, Server};
-use crate::log::{self, Reason};
+use crate::http::door::Door;
+use crate::http::server::{Handler, Limits, Server, KEEP_IDLE};
+use crate::log;
+use crate::operator::Operator;
 use crate::settings::Info;
 use crate::store::peers::Peers;
 use crate::store::{self, Store};
@@ -29,8 +31,7 @@
 use crate::transport::opensearch::Searches;
 use crate::transport::{self, span};
 
-/// After SIGTERM, new connections still come for a while, and clients go on using those they have.
-const KEEP_IDLE: Duration = Duration::from_millis(500);
+/// After SIGTERM, new connections still come for a while beyond the time for idle ones.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(250);
 /// Beyond the longest deadline, what is left to do is not waited for.
 const LAST_WAIT: Duration = Duration::from_millis(600);
@@ -81,17 +82,29 @@
         executor.spawn(keep_directory(store, driver.clone())).detach();
     }
 
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|error| format!("key listen: {}: {error}", config.listen))?;
+    let listener = bind("listen", config.listen).await?;
+    let operators = match config.operator {
+        Some(address) => Some(bind("operator", address).await?),
+        None => None,
+    };
     let at: SocketAddr = listener.local_addr().map_err(|error| error.to_string())?;
     let limits = Limits::for_connections(config.client_connections());
+    let door = Rc::new(Door::default());
     let front: Box<dyn Handler> = match config.api {
-        Api::Platform => Box::new(Platform::new(driver.clone())),
-        Api::Opensearch => Box::new(OpenSearch::new(driver.clone(), info.domain.shards.unwrap_or(1))),
+        Api::Platform => Box::new(Platform::new(driver.clone(), door.clone())),
+        Api::Opensearch => {
+            Box::new(OpenSearch::new(driver.clone(), door.clone(), info.domain.shards.unwrap_or(1)))
+        }
     };
-    let server = Server::new(executor.clone(), front, limits);
+    let server = Server::new("client", executor.clone(), front, limits, door.clone());
     let accepting = executor.spawn(server.clone().accept(listener));
+    executor.spawn(server.clone().drain()).detach();
+    if let Some(listener) = operators {
+        if let Ok(at) = listener.local_addr() {
+            log::line(&format!("operators call {at}"));
+        }
+        executor.spawn(Operator::new(door.clone()).serve(executor.clone(), listener)).detach();
+    }
     log::line(&format!("{} listens on {at}", config.name));
 
     let attend = |signal| match signal {
@@ -102,16 +115,12 @@
     until_told_to_end(&mut signals, attend).await;
     // Planned end: go on accepting, answer everything, then leave.
     log::line("draining");
-    server.drain();
+    door.leave();
     let drained = async {
-        Timer::after(KEEP_IDLE).await;
-        server.close_idle(Reason::Shutdown);
-        Timer::after(KEEP_ACCEPTING).await;
-        server.close_idle(Reason::Shutdown);
+        Timer::after(KEEP_IDLE + KEEP_ACCEPTING).await;
         drop(accepting);
         while driver.open_queries() > 0 || server.open() > 0 {
             Timer::after(LOOK_EVERY).await;
-            server.close_idle(Reason::Shutdown);
         }
     };
     let last = async {
@@ -127,6 +136,10 @@
     Ok(())
 }
 
+async fn bind(key: &str, address: SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(address).await.map_err(|error| format!("key {key}: {address}: {error}"))
+}
+
 /// Attends to signals until one of them ends the program.
 async fn until_told_to_end(signals: &mut Signals, attend: impl Fn(Signal)) {
     loop {
@@ -174,9 +187,7 @@
     executor: &Rc<LocalExecutor<'static>>,
 ) -> Result<Option<Rc<Store>>, String> {
     let Some(place) = &config.store else { return Ok(None) };
-    let listener = TcpListener::bind(place.listen)
-        .await
-        .map_err(|error| format!("key store.listen: {}: {error}", place.listen))?;
+    let listener = bind("store.listen", place.listen).await?;
     let store = Rc::new(Store::new(&config.name));
     if let Ok(at) = listener.local_addr() {
         log::line(&format!("store meets peers on {at}"));
--- a/tests/sockets/aggregator.rs
+++ b/tests/sockets/aggregator.rs
@@ -19,6 +19,8 @@
     pub board: Arc<Board>,
     pub address: SocketAddr,
     pub stores: Vec<SocketAddr>,
+    /// Where operators call.
+    pub operator: Option<SocketAddr>,
     /// Where peers of its store meet it.
     pub store: Option<String>,
     /// The lines of its log up to the start.
@@ -74,7 +76,7 @@
 
 fn config(wire: Wire, stores: &[SocketAddr], max_open: usize, board: &Arc<Board>) -> Value {
     let lines: Vec<_> = stores.iter().enumerate().map(|(n, at)| line(n, *at, "ready", 0)).collect();
-    json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7",
+    json!({"name": "n0", "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "seed": "7",
         "discovery": stand_in::discovery(board).to_string(),
         "api": match wire { Wire::Frames => "platform", Wire::OpenSearch => "opensearch" },
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -128,7 +130,8 @@
         };
         let address = at(" listens on ").unwrap().parse().unwrap();
         let store = at("store meets peers on");
-        Aggregator { wire, board, address, stores, store, started, child, log, config: path }
+        let operator = at("operators call").map(|at| at.parse().unwrap());
+        Aggregator { wire, board, address, stores, operator, store, started, child, log, config: path }
     }
 
     /// Whether the log has held some words by the time it had started.
@@ -194,6 +197,16 @@
         answer
     }
 
+    /// Makes an operator's call; the connection has to be closed after its answer.
+    pub fn call(&self, method: &str, path: &str) -> Answer {
+        let mut stream = TcpStream::connect(self.operator.expect("the key")).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+        stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).unwrap();
+        let answer = answer(&mut stream);
+        assert_eq!(stream.read(&mut [0]).unwrap(), 0, "closed after {}", answer.status);
+        answer
+    }
+
     pub fn counters(&self) -> String {
         let mut stream = self.connect();
         stream.write_all(b"GET /counters HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
--- /dev/null
+++ b/tests/sockets/calls.rs
@@ -0,0 +1,120 @@
+//! Operators' calls on an address of their own.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use serde_json::json;
+
+use crate::aggregator::{answer, Aggregator};
+use crate::stand_in::{Act, Wire, WIRES};
+
+fn asks_health(aggregator: &Aggregator) -> u16 {
+    let mut stream = aggregator.connect();
+    stream.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+    answer(&mut stream).status
+}
+
+#[test]
+fn calls_that_are_not_known_get_a_4xx() {
+    let aggregator = Aggregator::start(Wire::Frames, 1);
+    assert_eq!(aggregator.call("GET", "/healthcheck").status, 200);
+    for (method, path, status) in [
+        ("GET", "/", 404),
+        ("GET", "/healthz", 404),
+        ("POST", "/run-lookup", 404),
+        ("PUT", "/healthcheck", 405),
+        ("GET", "/healthcheck/fail", 405),
+        ("PUT", "/healthcheck/fail/now", 404),
+    ] {
+        assert_eq!(aggregator.call(method, path).status, status, "{method} {path}");
+    }
+    assert_eq!(asks_health(&aggregator), 200, "none of them did anything");
+}
+
+#[test]
+fn without_the_key_nobody_listens_for_operators() {
+    let aggregator = Aggregator::changed(Wire::Frames, 1, |config, _| config["operator"] = json!(null));
+    assert!(aggregator.operator.is_none());
+    assert!(!aggregator.said("operators call"));
+}
+
+#[test]
+fn callers_that_say_nothing_or_half_a_call_delay_no_other() {
+    let aggregator = Aggregator::start(Wire::Frames, 1);
+    // More than there is room for.
+    let slow: Vec<_> = (0..60)
+        .map(|n| {
+            let mut stream = TcpStream::connect(aggregator.operator.unwrap()).unwrap();
+            if n % 2 == 0 {
+                stream.write_all(b"GET /healthch").unwrap();
+            }
+            stream
+        })
+        .collect();
+    assert_eq!(aggregator.call("GET", "/healthcheck").status, 200);
+    drop(slow);
+}
+
+#[test]
+fn clients_that_take_all_their_room_leave_operators_theirs() {
+    let aggregator =
+        Aggregator::changed(Wire::Frames, 1, |config, _| config["limits"]["sockets"] = json!(128));
+    aggregator.board.act(0, Act::Silent);
+    // There is room for 42 of them, and for six to be told that there is none.
+    let held: Vec<_> = (0..48).map(|n| aggregator.begin("run-lookup", &[n % 4], 9000)).collect();
+    aggregator.board.wait("the queries", |state| state.parts.len() >= 42);
+    assert_eq!(aggregator.call("GET", "/healthcheck").status, 200);
+    drop(held);
+}
+
+#[test]
+fn a_drain_by_hand_ends_every_connection_and_is_undone() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        let mut idle = aggregator.connect();
+        idle.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+        assert_eq!(answer(&mut idle).status, 200, "{wire:?}");
+        aggregator.board.act(0, Act::Silent);
+        let mut held = aggregator.begin("run-lookup", &[0], 900);
+        aggregator.board.wait("the part", |state| state.parts.len() == 1);
+        for _ in 0..2 {
+            assert_eq!(aggregator.call("PUT", "/healthcheck/fail").status, 200, "{wire:?}");
+            assert_eq!(asks_health(&aggregator), 503, "{wire:?}");
+        }
+        // It goes on accepting; each answer is its connection's last.
+        aggregator.board.act(0, Act::Serve);
+        let late = aggregator.ask("run-lookup", &[1], 8000);
+        assert!(late.whole() && late.head.contains("\r\nconnection: close"), "{wire:?}: {late:?}");
+        assert_eq!(idle.read(&mut [0]).unwrap(), 0, "{wire:?}: closed, as it stood idle");
+        let mut silent = aggregator.connect();
+        assert_eq!(
+            silent.read(&mut [0]).unwrap(),
+            0,
+            "{wire:?}: closed, as it came too late and asked nothing"
+        );
+        assert!(
+            answer(&mut held).head.contains("\r\nconnection: close"),
+            "{wire:?}: what was held is answered"
+        );
+        assert_eq!(aggregator.call("GET", "/healthcheck").status, 200, "{wire:?}: the process goes on");
+        for _ in 0..2 {
+            assert_eq!(aggregator.call("PUT", "/healthcheck/ok").status, 200, "{wire:?}");
+            assert_eq!(asks_health(&aggregator), 200, "{wire:?}");
+        }
+        let again = aggregator.ask("run-lookup", &[2], 8000);
+        assert!(again.whole() && !again.head.contains("connection: close"), "{wire:?}: {again:?}");
+    }
+}
+
+#[test]
+fn an_end_that_has_begun_is_not_undone_by_hand() {
+    let aggregator = Aggregator::start(Wire::Frames, 1);
+    aggregator.board.act(0, Act::Silent);
+    let held = aggregator.begin("run-lookup", &[0], 8000);
+    aggregator.board.wait("the part", |state| state.parts.len() == 1);
+    aggregator.signal("TERM");
+    aggregator.logged("draining");
+    assert_eq!(aggregator.call("PUT", "/healthcheck/ok").status, 409);
+    assert_eq!(asks_health(&aggregator), 503);
+    drop(held);
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The rules, over both wires, with run stores and discovery that the tests own.
 
 mod aggregator;
+mod calls;
 mod operator;
 mod stand_in;
 
@@ -202,7 +203,10 @@
         let line = aggregator.logged("reload:");
         assert!(line.contains("the old configuration stays"), "{line}");
         aggregator.reload(&sound.replace("127.0.0.1:0", "127.0.0.1:1"));
-        assert!(aggregator.logged("reload:").contains("key listen has changed and needs a restart"));
+        for key in ["listen", "operator"] {
+            let line = aggregator.logged("reload:");
+            assert!(line.contains(&format!("key {key} has changed and needs a restart")), "{line}");
+        }
         assert_eq!(aggregator.logged("reload:"), "reload: done");
         assert!(aggregator.ask("run-lookup", &[0, 1, 2, 3], 8000).whole(), "{wire:?}");
         // The watch stands where it stood.
