--- a/src/decide.rs
+++ b/src/decide.rs
@@ -422,11 +422,9 @@
         server.out = (server.out - flight.cost).max(0.0);
         server.flights = server.flights.saturating_sub(1);
         (server.load, server.loaded) = load.map_or((server.load, server.loaded), |load| (load, now));
-        match outcome {
-            Outcome::Completed => server.note_loss(0.0, now, aim),
-            Outcome::Reset if dropped => {}
-            Outcome::Errored | Outcome::Reset | Outcome::TimedOut => server.note_loss(1.0, now, aim),
-            _ => {}
+        let lost = !dropped && matches!(outcome, Outcome::Errored | Outcome::Reset | Outcome::TimedOut);
+        if lost || outcome == Outcome::Completed {
+            server.note_loss(f64::from(u8::from(lost)), now, aim);
         }
         match outcome {
             Outcome::Completed => {
@@ -737,13 +735,9 @@
     }
 
     fn send(&mut self, number: u64, index: usize, to: ServerNo) {
-        if self.queries.get(&number).is_some_and(|query| query.parts[index].attempts > 0) {
-            self.m.further -= 1.0;
-            self.note_budget(true);
-        }
         let interval = self.interval();
         let Some(query) = self.queries.get(&number) else { return };
-        let until = self.useful_until(query);
+        let (until, again) = (self.useful_until(query), query.parts[index].attempts > 0);
         let room = self.servers.get(&to).and_then(|s| self.cold_room(s, query.class));
         let Some(query) = self.queries.get_mut(&number) else { return };
         let Some(server) = self.servers.get_mut(&to) else { return };
@@ -773,6 +767,10 @@
         let (part, replica) = (part.id.clone(), server.line.id.clone());
         self.flights.insert((part.clone(), attempt), flight);
         self.actions.push(Action::Send { part, replica, timeout });
+        if again {
+            self.m.further -= 1.0;
+            self.note_budget(true);
+        }
     }
 
     fn cancel(&mut self, id: &PartId, attempt: Attempt) {
@@ -827,9 +825,7 @@
         let Some(query) = self.queries.get(&number) else { return };
         let (class, now, aim) = (query.class, self.now, self.min_aim);
         let since = now - self.m.usual.unwrap_or(0.0) * SUSPECT_OF_USUAL;
-        let out = |p: &Part| Some((p.id.clone(), p.out.filter(|_| p.last_sent <= since)?, p.attempts));
-        let out: Vec<_> = query.parts.iter().filter_map(out).collect();
-        for (id, (attempt, server), attempts) in out {
+        for (id, (attempt, server), _, attempts) in query.out_since(since) {
             let flight = self.flights.get_mut(&(id.clone(), attempt));
             let Some(flight) = flight.filter(|f| !f.cancelled && f.overtaken >= OVERTAKEN) else { continue };
             // It counts once, also where it stays out.
@@ -855,17 +851,8 @@
         let slow = self.busy() && self.pace(class) > PRESSED_AT;
         let none = slow || self.now + self.m.usual.unwrap_or(0.0) > query.deadline;
         let safe = self.s.classes[class].repeat != Repeat::Unsafe;
-        let silent = |p: &Part| {
-            Some((
-                p.id.clone(),
-                p.out.filter(|_| p.last_sent.max(self.back) <= since)?,
-                p.last_sent,
-                p.attempts,
-            ))
-        };
-        let silent: Vec<_> = query.parts.iter().filter_map(silent).collect();
-        for (id, (attempt, server), sent, attempts) in silent {
-            if self.servers.get(&server).is_none_or(|s| s.answered >= sent) {
+        for (id, (attempt, server), sent, attempts) in query.out_since(since) {
+            if self.back > since || self.servers.get(&server).is_none_or(|s| s.answered >= sent) {
                 continue;
             }
             let again = safe && attempts < self.s.max_attempts;
@@ -977,6 +964,14 @@
     }
 }
 
+impl Query {
+    /// Parts out since some time: each with its attempt and replica, when it was sent and how often.
+    fn out_since(&self, since: Millis) -> Vec<(PartId, (Attempt, ServerNo), Millis, u32)> {
+        let out = |p: &Part| Some((p.id.clone(), p.out?, p.last_sent, p.attempts));
+        self.parts.iter().filter_map(out).filter(|(_, _, sent, _)| *sent <= since).collect()
+    }
+}
+
 impl Server {
     /// Cost sent in an interval. Work still out at its turn stays counted: it has yet to be done.
     fn sent_in(&self, interval: i64) -> f64 {
