Tell operators the figures: ends by class, attempts, what is held, the pool

Now core/book.rs and core/admit.rs count each final answer under its class, the transports count attempts at the last byte of a frame or request (probes aside), and `GET /stats` writes them in StatsD's form with the gauges as they are at that moment. Ruled out: counting the answers' statuses in the server, where a 503 for want of room has no class yet.

Tests: tests/figures.rs checks on the core, over 300 runs of random steps, that each end is counted once under its class and `active` is what is open; tests/link.rs that a frame's attempts are counted with its last byte; on sockets over both wires, each figure.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -10,8 +10,9 @@
         // stays bounded whatever comes in. Nothing of it has run: a refusal is safe.
         if self.ledger.open() >= self.max_open || deadline <= now {
             self.counters.turned_away += 1;
-            let retry_after = self.advice(class);
-            self.orders.push_back(Order::Final { query: no, verdict: Verdict::Refused { retry_after } });
+            let verdict = Verdict::Refused { retry_after: self.advice(class) };
+            self.counters.answered(&self.class_names[class], &verdict);
+            self.orders.push_back(Order::Final { query: no, verdict });
             return;
         }
         let id = Ledger::query_id(no);
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -55,7 +55,7 @@
             }
             verdict => verdict,
         };
-        self.counters.answered(&verdict);
+        self.counters.answered(&self.class_names[query.class], &verdict);
         self.forget(no);
         self.orders.push_back(Order::Final { query: no, verdict });
     }
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -13,7 +13,7 @@
 
 use super::{Ask, Call, CallEnd, CallNo, Core, News, NotTaken, Order, QueryNo, Verdict};
 use crate::api::{LoadReport, Millis, ReplicaId};
-use crate::counters::Counters;
+use crate::counters::{Counters, Gauges};
 
 /// A transport to run stores. What it is told takes effect at once; it reports ends to the [`Driver`].
 pub trait RunStores {
@@ -113,6 +113,11 @@
         Counters { run_stores: core.run_stores(), places, ..core.counters.clone() }
     }
 
+    /// What is so just now.
+    pub fn gauges(&self) -> Gauges {
+        self.core.borrow().gauges()
+    }
+
     /// The number of queries that are owed an answer.
     pub fn open_queries(&self) -> usize {
         self.waiting.borrow().len()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,15 +17,15 @@
 pub mod send;
 pub mod take_in;
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 
-use crate::api::{Event, Millis, Outcome, ReplicaId, Settings};
-use crate::counters::Counters;
+use crate::api::{Event, Millis, Outcome, ReplicaId, ReplicaState, Settings};
+use crate::counters::{Counters, Ends, Gauges};
 use crate::settings::{Info, Names};
 use crate::Router;
-use ledger::Ledger;
+use ledger::{Ledger, Place};
 
 /// A query as a front took it from its client.
 #[derive(Debug, Clone, PartialEq)]
@@ -244,10 +244,13 @@
     /// Says which setting contradicts itself.
     pub fn new(info: &Info, seed: u64) -> Result<Self, String> {
         let settings = info.settings();
+        let class_names: Vec<Arc<str>> =
+            info.request_classes.iter().map(|c| c.name.as_str().into()).collect();
+        let classes = class_names.iter().map(|name| (name.clone(), Ends::default())).collect();
         Ok(Core {
             router: Router::new(settings.clone(), seed)?,
             names: info.names(),
-            class_names: info.request_classes.iter().map(|c| c.name.as_str().into()).collect(),
+            class_names,
             deadlines: info.request_classes.iter().map(|c| c.deadline_ms()).collect(),
             settings,
             max_open: info.caps.max_open() as usize,
@@ -257,7 +260,7 @@
             inbox: Vec::new(),
             orders: VecDeque::new(),
             wake: None,
-            counters: Counters::default(),
+            counters: Counters { classes, ..Counters::default() },
         })
     }
 
@@ -286,9 +289,18 @@
         self.ledger.places.len()
     }
 
-    /// The number of queries that are owed an answer.
-    pub fn open_queries(&self) -> usize {
-        self.ledger.queries.len()
+    /// What is so just now, for the figures.
+    pub fn gauges(&self) -> Gauges {
+        let parked: HashSet<_> = self.router.parked().collect();
+        let places = self.ledger.places.iter();
+        let ejected = |(id, place): &(&ReplicaId, &Place)| {
+            place.replica.state != ReplicaState::Active || parked.contains(id)
+        };
+        Gauges {
+            active: self.ledger.queries.len(),
+            pool_size: self.ledger.places.len(),
+            pool_ejected: places.filter(ejected).count(),
+        }
     }
 
     /// Takes the next order, in the order of their making.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -271,6 +271,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// The replicas that new parts avoid.
+    pub fn parked(&self) -> impl Iterator<Item = &ReplicaId> {
+        self.servers.values().filter(|s| s.parked.is_some()).map(|s| &s.line.id)
+    }
+
     // ---- events
 
     fn take(&mut self, event: Event) {
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -41,8 +41,8 @@
         OpenSearch { driver, door, shards, last: Cell::new(0) }
     }
 
-    fn refuse(&self, Refusal(status, kind, why): Refusal) -> Response {
-        self.driver.count(|counters| counters.malformed += 1);
+    fn refuse(&self, index: &str, Refusal(status, kind, why): Refusal) -> Response {
+        self.driver.count(|counters| counters.not_taken(index));
         error(status, kind, &why)
     }
 
@@ -80,7 +80,8 @@
         let response = match (request.start.0.as_str(), request.start.1.as_str()) {
             ("GET", "/healthz") => crate::front::health(&self.door),
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
-            ("GET" | "POST", _) => {
+            ("GET" | "POST", path) => {
+                let index = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
                 let read = Search::read(&request, self.shards);
                 let asked = read.and_then(|search| self.ask(&search, &request).map(|ask| (search, ask)));
                 match asked.map(|(search, ask)| (search, self.driver.ask(ask))) {
@@ -93,30 +94,26 @@
                             echo(render(&verdict, &search, &shards, took), opaque)
                         });
                     }
-                    Ok((search, Err(NotTaken::UnknownClass))) => self.refuse(Refusal(
-                        404,
-                        "index_not_found_exception",
-                        format!("no such index [{}]", search.index),
-                    )),
+                    Ok((search, Err(NotTaken::UnknownClass))) => {
+                        let why = format!("no such index [{}]", search.index);
+                        self.refuse(index, Refusal(404, "index_not_found_exception", why))
+                    }
                     Ok((_, Err(NotTaken::Malformed(why)))) => {
-                        self.refuse(Refusal(400, "illegal_argument_exception", why))
+                        self.refuse(index, Refusal(400, "illegal_argument_exception", why))
                     }
-                    Err(refusal) => self.refuse(refusal),
+                    Err(refusal) => self.refuse(index, refusal),
                 }
             }
-            (method, _) => self
-                .refuse(Refusal(
-                    405,
-                    "illegal_argument_exception",
-                    format!("method [{method}] is not allowed; spoken are GET and POST"),
-                ))
-                .with("Allow", "GET, POST"),
+            (method, _) => {
+                let why = format!("method [{method}] is not allowed; spoken are GET and POST");
+                self.refuse("", Refusal(405, "illegal_argument_exception", why)).with("Allow", "GET, POST")
+            }
         };
         Box::pin(async move { echo(response, opaque) })
     }
 
     fn bad(&self, bad: Bad) -> Response {
-        self.refuse(Refusal(bad.status(), "parsing_exception", bad.to_string()))
+        self.refuse("", Refusal(bad.status(), "parsing_exception", bad.to_string()))
     }
 
     fn full(&self) -> Response {
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -74,20 +74,21 @@
     }
 
     fn query(&self, request: &Message, path: &str) -> Result<(Held, Pending), Response> {
-        let ask = read(request, path).map_err(|why| self.refuse(400, &why))?;
+        let class = class_of(path);
+        let ask = read(request, class).map_err(|why| self.refuse(class, 400, &why))?;
         if !self.held.borrow_mut().insert(ask.id.clone()) {
-            return Err(self.refuse(409, "a query of this X-Request-ID is being answered"));
+            return Err(self.refuse(class, 409, "a query of this X-Request-ID is being answered"));
         }
         let held = Held { id: ask.id.clone(), all: self.held.clone() };
         match self.driver.ask(ask) {
             Ok(pending) => Ok((held, pending)),
-            Err(NotTaken::UnknownClass) => Err(self.refuse(404, "no such class")),
-            Err(NotTaken::Malformed(why)) => Err(self.refuse(400, &why)),
+            Err(NotTaken::UnknownClass) => Err(self.refuse(class, 404, "no such class")),
+            Err(NotTaken::Malformed(why)) => Err(self.refuse(class, 400, &why)),
         }
     }
 
-    fn refuse(&self, status: u16, why: &str) -> Response {
-        self.driver.count(|counters| counters.malformed += 1);
+    fn refuse(&self, class: &str, status: u16, why: &str) -> Response {
+        self.driver.count(|counters| counters.not_taken(class));
         Response::text(status, why)
     }
 }
@@ -108,13 +109,13 @@
                 }
                 Err(response) => response,
             },
-            _ => self.refuse(405, "queries are POST requests").with("Allow", "POST"),
+            _ => self.refuse("", 405, "queries are POST requests").with("Allow", "POST"),
         };
         Box::pin(async move { response })
     }
 
     fn bad(&self, bad: Bad) -> Response {
-        self.refuse(bad.status(), &bad.to_string())
+        self.refuse("", bad.status(), &bad.to_string())
     }
 
     fn full(&self) -> Response {
@@ -122,9 +123,13 @@
     }
 }
 
-fn read(request: &Message, path: &str) -> Result<Ask, String> {
+/// The class, which is the first part of a path.
+fn class_of(path: &str) -> &str {
+    path.trim_start_matches('/').split('/').next().unwrap_or("")
+}
+
+fn read(request: &Message, in_path: &str) -> Result<Ask, String> {
     let header = |name: &str| request.headers.get(name);
-    let in_path = path.trim_start_matches('/').split('/').next().unwrap_or("");
     let class = header("x-priority-class").unwrap_or(in_path);
     if class != in_path {
         return Err("X-Priority-Class and the path name different classes".into());
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -6,6 +6,8 @@
 use async_executor::LocalExecutor;
 use async_net::TcpListener;
 
+use crate::core::drive::Driver;
+use crate::counters;
 use crate::http::door::{Door, State};
 use crate::http::parse::{Bad, Message};
 use crate::http::server::{Handler, Limits, Local, Server};
@@ -19,13 +21,14 @@
 
 /// What operators may call for.
 pub struct Operator {
+    driver: Rc<Driver>,
     door: Rc<Door>,
 }
 
 impl Operator {
-    /// Calls that act on the clients' door.
-    pub fn new(door: Rc<Door>) -> Self {
-        Operator { door }
+    /// Calls that act on a driver and the clients' door.
+    pub fn new(driver: Rc<Driver>, door: Rc<Door>) -> Self {
+        Operator { driver, door }
     }
 
     /// Serves calls on a listener.
@@ -40,14 +43,19 @@
         match (method, &words[..]) {
             // A process that listens here serves; whether it wants clients is told at their address.
             ("GET", ["healthcheck"]) => yes("ready"),
+            ("GET", ["stats"]) => Response::text(200, &self.stats()),
             ("PUT", ["healthcheck", "fail"]) => self.turn(State::Shut, "draining"),
             ("PUT", ["healthcheck", "ok"]) => self.turn(State::Open, "ready"),
-            (_, ["healthcheck"]) => wrong_method("GET"),
+            (_, ["healthcheck"] | ["stats"]) => wrong_method("GET"),
             (_, ["healthcheck", "fail" | "ok"]) => wrong_method("PUT"),
             _ => Response::text(404, "no such call"),
         }
     }
 
+    fn stats(&self) -> String {
+        counters::stats(&self.driver.counters(), &self.driver.gauges())
+    }
+
     fn turn(&self, state: State, word: &str) -> Response {
         if !self.door.by_hand(state) {
             return Response::text(409, "the program is to end");
--- a/src/service.rs
+++ b/src/service.rs
@@ -103,13 +103,15 @@
         if let Ok(at) = listener.local_addr() {
             log::line(&format!("operators call {at}"));
         }
-        executor.spawn(Operator::new(door.clone()).serve(executor.clone(), listener)).detach();
+        executor
+            .spawn(Operator::new(driver.clone(), door.clone()).serve(executor.clone(), listener))
+            .detach();
     }
     log::line(&format!("{} listens on {at}", config.name));
 
     let attend = |signal| match signal {
         Signal::Usr1 => log::line(&format!("counters {}", driver.counters())),
-        Signal::Hup => take_up(path, config, &*reload),
+        Signal::Hup => take_up(path, config, &driver, &*reload),
         _ => {}
     };
     until_told_to_end(&mut signals, attend).await;
@@ -153,16 +155,20 @@
 }
 
 /// Reads the configuration again. One that is at fault changes nothing.
-fn take_up(path: &Path, started: &Config, directory: &dyn Reload) {
+fn take_up(path: &Path, started: &Config, driver: &Driver, directory: &dyn Reload) {
     match Config::load(path) {
         Ok(config) => {
             for key in started.needs_restart(&config) {
                 log::line(&format!("reload: key {key} has changed and needs a restart"));
             }
             directory.reload(&config);
+            driver.count(|counters| counters.config_applied += 1);
             log::line("reload: done");
         }
-        Err(why) => log::line(&format!("reload: the old configuration stays: {why}")),
+        Err(why) => {
+            driver.count(|counters| counters.config_rejected += 1);
+            log::line(&format!("reload: the old configuration stays: {why}"));
+        }
     }
 }
 
--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -207,13 +207,15 @@
         }
     }
 
-    /// The last byte of the frame is written.
-    pub fn written(&mut self, now: Instant) {
+    /// The last byte of the frame is written; says how many attempts that makes.
+    pub fn written(&mut self, now: Instant) -> usize {
+        let mut attempts = 0;
         for item in std::mem::take(&mut self.writing) {
             match item {
                 Item::GiveUp(_) => {}
                 Item::Probe(no) => self.probes.push_back((Some(no), now)),
                 Item::Call(no) => {
+                    attempts += 1;
                     let Some(held) = self.calls.get_mut(&no) else { continue };
                     held.stage = Stage::Written(now);
                     // Given up while it was being written: the run store is told now that it has it.
@@ -226,6 +228,7 @@
                 }
             }
         }
+        attempts
     }
 
     /// Takes bytes in; says what ended, and what cannot be read: the connection has to close then.
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -214,7 +214,8 @@
                 if !future::or(written, limit).await? {
                     return Ok(Reason::TooSlow);
                 }
-                connection.link.borrow_mut().written(Instant::now());
+                let attempts = connection.link.borrow_mut().written(Instant::now());
+                self.driver.count(|counters| counters.tries += attempts as u64);
                 continue;
             }
             let (idle, suspect, load) = {
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -263,6 +263,9 @@
         };
         client.write(&request).await?;
         worker.stage.set(Stage::Written(job.no()));
+        if matches!(job, Job::Search(_)) {
+            self.driver.count(|counters| counters.tries += 1);
+        }
         client.read().await
     }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -94,7 +94,7 @@
     assert!(matches!(last[..], [(_, Verdict::Failed { .. })]), "{last:?}");
     core.step(2510.0);
     assert!(finals(&orders(&mut core)).is_empty());
-    assert_eq!(core.open_queries(), 0);
+    assert_eq!(core.gauges().active, 0);
 }
 
 #[test]
--- /dev/null
+++ b/tests/figures.rs
@@ -0,0 +1,144 @@
+//! The figures add up, whatever happens in whatever order: checked on the core over random steps.
+
+use std::collections::BTreeMap;
+
+use ironpaddle::api::{Outcome, Replica};
+use ironpaddle::core::{Ask, AskPart, Call, CallEnd, Core, Listed, News, Order, QueryNo, Verdict};
+use ironpaddle::settings::Info;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use serde_json::json;
+
+const CLASSES: [&str; 2] = ["search", "entry"];
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// A query of a class and so many parts, of which the client waits this long.
+    Ask(usize, u32, f64),
+    /// An attempt that is out ends.
+    End(usize, Outcome),
+    /// A client leaves.
+    Leave(usize),
+    Pass(f64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let outcome = prop_oneof![
+        4 => Just(Outcome::Completed),
+        1 => Just(Outcome::Errored),
+        1 => Just(Outcome::Rejected),
+        1 => Just(Outcome::Reset),
+        1 => Just(Outcome::ConnectFailed)
+    ];
+    let step = prop_oneof![
+        3 => (0..2usize, 1..4u32, -5.0..900.0).prop_map(|(class, parts, wait)| Step::Ask(class, parts, wait)),
+        5 => (0..9usize, outcome).prop_map(|(which, outcome)| Step::End(which, outcome)),
+        1 => (0..9usize).prop_map(Step::Leave),
+        3 => (1.0..400.0).prop_map(Step::Pass),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+fn core() -> Core {
+    let class = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 300.0, "deadline_ms": 900.0, "repeat": repeat});
+    let info: Info = serde_json::from_value(json!({
+        "caps": {"max_attempts": 2, "max_open": 12, "may_cancel": true},
+        "domain": {"cells": 1, "width": 1, "shards": 9, "least_share": [0.4, 1.0], "complete_from": [1.0, 1.0]},
+        "request_classes": [class(CLASSES[0], "read_like"), class(CLASSES[1], "non_idempotent")],
+        "tick_ms": 5.0,
+    }))
+    .unwrap();
+    let mut core = Core::new(&info, 7).unwrap();
+    let line = |name: &str| Listed {
+        replica: Replica { id: name.into(), weight: 1.0, ..Replica::default() },
+        address: Some(([127, 0, 0, 1], 9).into()),
+    };
+    core.take_news(News::Cached(vec![line("a"), line("b")]));
+    core
+}
+
+/// What the world outside saw.
+#[derive(Default)]
+struct Seen {
+    open: BTreeMap<QueryNo, usize>,
+    out: Vec<Call>,
+    /// By class: served, refused, failed.
+    ends: [[u64; 3]; 2],
+}
+
+impl Seen {
+    fn look(&mut self, core: &mut Core) {
+        while let Some(order) = core.next_order() {
+            match order {
+                Order::Send(call) => self.out.push(call),
+                Order::GiveUp { no, .. } => self.out.retain(|call| call.no != no),
+                Order::Final { query, verdict } => {
+                    let class = self.open.remove(&query).expect("one final answer to each query");
+                    let end = match verdict {
+                        Verdict::Served { .. } => 0,
+                        Verdict::Refused { .. } => 1,
+                        Verdict::Failed { .. } => 2,
+                    };
+                    self.ends[class][end] += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn walk(steps: &[Step]) -> Result<(), TestCaseError> {
+    let (mut core, mut seen, mut now) = (core(), Seen::default(), 0.0);
+    for (at, step) in steps.iter().enumerate() {
+        match step {
+            Step::Ask(class, parts, wait) => {
+                let part = |shard| AskPart { shard, weight: 1.0 / f64::from(*parts), hint: None, key: None };
+                let ask = Ask {
+                    id: format!("r{at}"),
+                    class: CLASSES[*class].into(),
+                    tenant: None,
+                    timeout: Some(*wait),
+                    retried: false,
+                    partial: true,
+                    parts: (0..*parts).map(part).collect(),
+                    text: b"text"[..].into(),
+                };
+                seen.open.insert(core.take_in(now, ask).unwrap(), *class);
+            }
+            Step::End(which, outcome) if !seen.out.is_empty() => {
+                let call = seen.out.remove(which % seen.out.len());
+                let value = (*outcome == Outcome::Completed).then(|| b"v"[..].into());
+                core.call_ended(now, call.no, CallEnd { outcome: *outcome, value, load: None });
+            }
+            Step::Leave(which) if !seen.open.is_empty() => {
+                let no = *seen.open.keys().nth(which % seen.open.len()).unwrap();
+                seen.open.remove(&no);
+                core.client_gone(no);
+            }
+            Step::Pass(time) => now += time,
+            Step::End(..) | Step::Leave(_) => {}
+        }
+        seen.look(&mut core);
+        now += 5.0;
+        core.step(now);
+        seen.look(&mut core);
+        prop_assert_eq!(core.gauges().active, seen.open.len());
+        for (class, ends) in CLASSES.iter().zip(seen.ends) {
+            let counted = core.counters.classes[*class];
+            prop_assert_eq!([counted.ok, counted.shed, counted.errors], ends, "{}", class);
+        }
+    }
+    // Whatever is left ends by its deadline.
+    core.step(now + 1000.0);
+    seen.look(&mut core);
+    prop_assert_eq!((core.gauges().active, seen.open.len()), (0, 0));
+    Ok(())
+}
+
+#[test]
+fn every_end_is_counted_once_and_nothing_stays_active() {
+    // One seed for all runs: the verdict is the same every time.
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, rng).run(&steps(), |steps| walk(&steps)).unwrap();
+}
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -83,6 +83,7 @@
     let mut model: BTreeMap<u64, Stands> = BTreeMap::new();
     // Given up while being written: the run store is told, the core has booked the end.
     let mut writing = false;
+    let mut in_frame = 0;
     for (at, step) in steps.iter().enumerate() {
         let now = start + Duration::from_millis(at as u64);
         let pick = |model: &BTreeMap<u64, Stands>, at: usize| model.keys().copied().nth(at);
@@ -95,7 +96,7 @@
             }
             Step::Frame if !writing => {
                 if let Some(frame) = link.next_frame(|_| 5) {
-                    writing = true;
+                    (writing, in_frame) = (true, 0);
                     prop_assert_eq!(
                         u32::from_le_bytes(frame[..4].try_into().unwrap()) as usize,
                         frame.len() - 4
@@ -107,12 +108,14 @@
                         let queued = model.values_mut().filter(|stands| **stands == Stands::Queued);
                         let taken = queued.take(carried).map(|stands| *stands = Stands::Writing).count();
                         prop_assert_eq!(carried, taken);
+                        in_frame = carried;
                     }
                 }
             }
             Step::Written if writing => {
                 writing = false;
-                link.written(now);
+                // One given up while it was being written is written whole all the same.
+                prop_assert_eq!(link.written(now), in_frame);
                 let begun = model.values_mut().filter(|stands| **stands == Stands::Writing);
                 begun.for_each(|stands| *stands = Stands::Written);
             }
--- a/tests/sockets/calls.rs
+++ b/tests/sockets/calls.rs
@@ -5,7 +5,7 @@
 
 use serde_json::json;
 
-use crate::aggregator::{answer, Aggregator};
+use crate::aggregator::{answer, line, Aggregator};
 use crate::stand_in::{Act, Wire, WIRES};
 
 fn asks_health(aggregator: &Aggregator) -> u16 {
@@ -106,6 +106,67 @@
     }
 }
 
+fn figure(stats: &str, name: &str) -> String {
+    let line = stats.lines().find_map(|line| line.strip_prefix(&format!("aggregator.{name}:")));
+    line.unwrap_or_else(|| panic!("no {name} in {stats}")).to_string()
+}
+
+#[test]
+fn the_figures_tell_of_every_end_by_class_and_of_attempts_written_whole() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        let stats = aggregator.call("GET", "/stats").body;
+        for class in ["run-search", "run-lookup", "shift-entry"] {
+            for end in ["ok", "shed", "errors"] {
+                assert_eq!(figure(&stats, &format!("responses.{class}.{end}")), "0|c", "{wire:?}");
+            }
+        }
+        assert!(aggregator.ask("run-lookup", &[0, 1], 8000).whole(), "{wire:?}");
+        assert_eq!(aggregator.ask("no-such-class", &[0], 8000).status, 404, "{wire:?}");
+        // What cannot be used is an error of its class.
+        assert_eq!(aggregator.ask("run-search", &[9], 8000).status, 400, "{wire:?}");
+        let both = [Act::Error, Act::Silent].map(|act| {
+            aggregator.board.act(0, act);
+            aggregator.board.act(1, act);
+            // Two parts were written before.
+            let parts = aggregator.board.read(|state| state.parts.len());
+            let held = aggregator.begin("shift-entry", &[2], 9000);
+            aggregator.board.wait("the part", |state| state.parts.len() > parts);
+            held
+        });
+        let [mut failed, held] = both;
+        assert_eq!(answer(&mut failed).status, 500, "{wire:?}");
+        let stats = aggregator.call("GET", "/stats").body;
+        assert!(!stats.contains("no-such-class"), "{wire:?}: names that clients think up are not kept");
+        for (name, value) in [
+            ("responses.run-lookup.ok", "1|c"),
+            ("responses.shift-entry.errors", "1|c"),
+            ("responses.shift-entry.ok", "0|c"),
+            ("responses.run-search.errors", "1|c"),
+            ("tries", "4|c"),
+            ("active", "1|g"),
+            ("pool_size", "2|g"),
+            ("pool_ejected", "0|g"),
+        ] {
+            assert_eq!(figure(&stats, name), value, "{wire:?} {name}: {stats}");
+        }
+        drop(held);
+        aggregator.logged("code=client_gone");
+        assert_eq!(figure(&aggregator.call("GET", "/stats").body, "active"), "0|g", "{wire:?}");
+        aggregator.board.tell(json!([line(0, aggregator.stores[0], "draining", 0)]));
+        let sound = aggregator.configuration(|_| {});
+        aggregator.reload("{");
+        aggregator.logged("reload: the old configuration stays");
+        aggregator.reload(&sound);
+        aggregator.logged("reload: done");
+        let stats = aggregator.call("GET", "/stats").body;
+        for (name, value) in [("pool_ejected", "1|g"), ("config_rejected", "1|c"), ("config_applied", "1|c")]
+        {
+            assert_eq!(figure(&stats, name), value, "{wire:?} {name}: {stats}");
+        }
+    }
+}
+
 #[test]
 fn an_end_that_has_begun_is_not_undone_by_hand() {
     let aggregator = Aggregator::start(Wire::Frames, 1);
