Take new settings at SIGHUP, whole or not at all

At fault: service.rs (take_up) moved the directory and nothing else. Now a file is read, checked and compared with the last one before any of it is taken; then the core, the module, the transports and the directory take it. Classes have places (core/classes.rs), which queries under way hold. The module takes settings after its start (Router::retune); to make room, a shard's replicas are found among the few there are, without the table of cells. Ruled out: that the new classes are refused for load (their requests never reached the module), and that broken files were half taken (two were turned down whole before, too).

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -11,12 +11,12 @@
         if self.ledger.open() >= self.max_open || deadline <= now {
             self.counters.turned_away += 1;
             let verdict = Verdict::Refused { retry_after: self.advice(class) };
-            self.counters.answered(&self.class_names[class], &verdict);
+            self.counters.answered(&self.classes.at(class).name, &verdict);
             self.orders.push_back(Order::Final { query: no, verdict });
             return;
         }
         let id = Ledger::query_id(no);
-        let tenant = ask.tenant.as_ref().and_then(|name| self.names.tenants.get(name)).copied();
+        let tenant = ask.tenant.as_ref().and_then(|name| self.tenants.get(name)).copied();
         self.inbox.push(Event::Query(NewQuery {
             id: id.clone(),
             number: no.0,
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -13,7 +13,7 @@
     pub(super) fn answer(&mut self, id: &QueryId, whole: bool) {
         let Some(no) = self.ledger.numbers.get(id).copied() else { return };
         let Some(query) = self.ledger.queries.get(&no) else { return };
-        let class = &self.settings.classes[query.class];
+        let class = &self.classes.at(query.class).class;
         let (pieces, share) = self.ledger.pieces(query);
         // Guards the rule on honest answers, whatever was asked for: never under the least share, never
         // marked whole unless it is.
@@ -30,12 +30,12 @@
 
     /// How long a client should stay away.
     pub(super) fn advice(&self, class: usize) -> Millis {
-        (self.settings.classes[class].aim * WAIT_OF_AIM).min(self.settings.max_retry_after)
+        (self.classes.at(class).class.aim * WAIT_OF_AIM).min(self.settings.max_retry_after)
     }
 
     /// A failure; only clients of what is safe to repeat are asked back.
     fn failed(&self, class: usize) -> Verdict {
-        let safe = self.settings.classes[class].repeat == Repeat::Safe;
+        let safe = self.classes.at(class).class.repeat == Repeat::Safe;
         Verdict::Failed { retry_after: if safe { self.advice(class) } else { 0.0 } }
     }
 
@@ -47,7 +47,7 @@
 
     fn close(&mut self, no: QueryNo, verdict: Verdict) {
         let Some(query) = self.ledger.queries.get(&no) else { return };
-        let unsafe_class = self.settings.classes[query.class].repeat == Repeat::Unsafe;
+        let unsafe_class = self.classes.at(query.class).class.repeat == Repeat::Unsafe;
         // A refusal says that trying again is harmless: never where an unsafe part may have run.
         let verdict = match verdict {
             Verdict::Refused { .. } if unsafe_class && self.ledger.may_have_run(query) => {
@@ -55,7 +55,7 @@
             }
             verdict => verdict,
         };
-        self.counters.answered(&self.class_names[query.class], &verdict);
+        self.counters.answered(&self.classes.at(query.class).name, &verdict);
         self.forget(no);
         self.orders.push_back(Order::Final { query: no, verdict });
     }
--- /dev/null
+++ b/src/core/classes.rs
@@ -0,0 +1,121 @@
+//! The classes by their places. A place stays what it is for as long as queries of it are held, whatever other
+//! settings say meanwhile.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::api::{Class, Millis};
+use crate::settings::Info;
+
+/// What a class is.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Kind {
+    /// Its name.
+    pub name: Arc<str>,
+    /// How long clients wait for an answer.
+    pub deadline: Millis,
+    /// The router's view.
+    pub class: Class,
+}
+
+/// The classes.
+#[derive(Debug, Default)]
+pub struct Classes {
+    places: Vec<Kind>,
+    /// The places of those that may be asked for.
+    names: BTreeMap<Arc<str>, usize>,
+}
+
+impl Classes {
+    /// Takes the classes of some settings. One that was there already keeps its place; another gets one that
+    /// is not held, or a new one. A place that is neither held nor needed becomes like one that is needed, so
+    /// that a class that is gone has no bearing on anything.
+    pub fn take(&mut self, info: &Info, held: impl Fn(usize) -> bool) {
+        let told = info.settings().classes;
+        let kinds: Vec<Kind> = info
+            .request_classes
+            .iter()
+            .zip(told)
+            .map(|(told, class)| Kind {
+                name: told.name.as_str().into(),
+                deadline: told.deadline_ms(),
+                class,
+            })
+            .collect();
+        let first = |kind: &Kind| self.places.iter().position(|known| known == kind);
+        let kept: Vec<_> = kinds.iter().filter_map(first).collect();
+        let mut taken: Vec<bool> = (0..self.places.len()).map(|at| held(at) || kept.contains(&at)).collect();
+        self.names.clear();
+        for kind in &kinds {
+            let same = self.places.iter().position(|known| known == kind);
+            let at = same.or_else(|| taken.iter().position(|taken| !taken)).unwrap_or(self.places.len());
+            if at == self.places.len() {
+                self.places.push(kind.clone());
+                taken.push(true);
+            }
+            self.places[at] = kind.clone();
+            taken[at] = true;
+            self.names.insert(kind.name.clone(), at);
+        }
+        for (place, taken) in self.places.iter_mut().zip(taken) {
+            if let (false, Some(kind)) = (taken, kinds.first()) {
+                *place = kind.clone();
+            }
+        }
+    }
+
+    /// The place of a class that may be asked for.
+    pub fn named(&self, name: &str) -> Option<usize> {
+        self.names.get(name).copied()
+    }
+
+    /// The names that may be asked for.
+    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.names.keys()
+    }
+
+    /// What stands at a place.
+    pub fn at(&self, place: usize) -> &Kind {
+        &self.places[place]
+    }
+
+    /// All places, as the router knows them.
+    pub fn for_router(&self) -> Vec<Class> {
+        self.places.iter().map(|kind| kind.class.clone()).collect()
+    }
+
+    /// The longest time that any query may take.
+    pub fn longest_deadline(&self) -> Millis {
+        self.places.iter().map(|kind| kind.deadline).fold(0.0, f64::max)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn info(classes: &[(&str, f64)]) -> Info {
+        let class = |(name, aim): &(&str, f64)| json!({"name": name, "aim_ms": aim, "repeat": "read_like"});
+        let classes: Vec<_> = classes.iter().map(class).collect();
+        serde_json::from_value(json!({"request_classes": classes, "domain": {"cells": 1, "width": 1}}))
+            .unwrap()
+    }
+
+    #[test]
+    fn a_place_that_is_held_stays_and_one_that_is_not_is_used_anew() {
+        let mut classes = Classes::default();
+        classes.take(&info(&[("a", 1.0), ("b", 2.0)]), |_| false);
+        // Place 0 is held, by queries of a class that is gone; `b` keeps its place.
+        classes.take(&info(&[("b", 2.0), ("a", 3.0)]), |place| place == 0);
+        assert_eq!((classes.named("b"), classes.named("a")), (Some(1), Some(2)));
+        assert_eq!((classes.at(0).class.aim, classes.at(2).class.aim), (1.0, 3.0));
+        for aim in 4..20 {
+            classes.take(&info(&[("b", 2.0), ("a", f64::from(aim))]), |_| false);
+        }
+        assert_eq!(classes.for_router().len(), 3, "reloads do not add up");
+        classes.take(&info(&[("c", 5.0)]), |_| false);
+        assert!(classes.named("a").is_none());
+        assert!(classes.for_router().iter().all(|class| class.aim == 5.0), "nothing is left of what is gone");
+    }
+}
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -14,6 +14,7 @@
 use super::{Ask, Call, CallEnd, CallNo, Core, News, NotTaken, Order, QueryNo, Verdict};
 use crate::api::{LoadReport, Millis, ReplicaId};
 use crate::counters::{Counters, Gauges};
+use crate::settings::Info;
 
 /// A transport to run stores. What it is told takes effect at once; it reports ends to the [`Driver`].
 pub trait RunStores {
@@ -33,6 +34,8 @@
     fn locate(&self, replica: &ReplicaId, address: std::net::SocketAddr, started: Option<Millis>);
     /// The number of run stores of which anything is kept.
     fn places(&self) -> usize;
+    /// Takes up other settings.
+    fn retune(&self, info: &Info);
 }
 
 /// A directory of run stores.
@@ -123,6 +126,29 @@
         self.waiting.borrow().len()
     }
 
+    /// Takes up other settings, here and in the transport.
+    ///
+    /// # Errors
+    /// Says which setting contradicts itself; then nothing is changed.
+    pub fn retune(&self, info: &Info) -> Result<(), String> {
+        self.core.borrow_mut().retune(info)?;
+        if let Some(stores) = self.stores.get() {
+            stores.retune(info);
+        }
+        self.wake();
+        Ok(())
+    }
+
+    /// The longest time that any query may take.
+    pub fn longest_deadline(&self) -> Millis {
+        self.core.borrow().longest_deadline()
+    }
+
+    /// How many shards there are, if that is known.
+    pub fn shards(&self) -> Option<u32> {
+        self.core.borrow().shards()
+    }
+
     /// The list of run stores as last told.
     pub fn directory(&self) -> Vec<super::Listed> {
         self.core.borrow().directory()
@@ -174,7 +200,6 @@
 
     /// Steps the core whenever something happened or is due, at most once a tick.
     pub async fn run(self: Rc<Self>) {
-        let tick = Duration::from_secs_f64(self.core.borrow().tick() / 1000.0);
         let mut last: Option<Instant> = None;
         loop {
             let wake = self.core.borrow().wake_at().map(|at| self.instant(at));
@@ -189,6 +214,7 @@
             })
             .await;
             // Events are batched a tick, as on the bench.
+            let tick = Duration::from_secs_f64(self.core.borrow().tick() / 1000.0);
             if let Some(last) = last.filter(|last| last.elapsed() < tick) {
                 Timer::at(last + tick).await;
             }
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -12,7 +12,7 @@
 pub struct Query {
     /// The client's id.
     pub client_id: String,
-    /// Its class, by its place in the settings.
+    /// Its class, by its place.
     pub class: usize,
     /// When its time is over.
     pub deadline: Millis,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod admit;
 pub mod book;
+pub mod classes;
 pub mod drive;
 pub mod ledger;
 pub mod relay;
@@ -17,14 +18,15 @@
 pub mod send;
 pub mod take_in;
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use crate::api::{Event, Millis, Outcome, ReplicaId, ReplicaState, Settings};
-use crate::counters::{Counters, Ends, Gauges};
-use crate::settings::{Info, Names};
+use crate::counters::{Counters, Gauges};
+use crate::settings::Info;
 use crate::Router;
+use classes::Classes;
 use ledger::{Ledger, Place};
 
 /// A query as a front took it from its client.
@@ -220,9 +222,9 @@
 /// The state of one aggregator, without input or output.
 pub struct Core {
     router: Router,
-    names: Names,
-    class_names: Vec<Arc<str>>,
-    deadlines: Vec<Millis>,
+    classes: Classes,
+    /// The places of tenants by their names.
+    tenants: BTreeMap<String, usize>,
     settings: Settings,
     max_open: usize,
     /// How many shards there are, if that is known.
@@ -243,25 +245,54 @@
     /// # Errors
     /// Says which setting contradicts itself.
     pub fn new(info: &Info, seed: u64) -> Result<Self, String> {
-        let settings = info.settings();
-        let class_names: Vec<Arc<str>> =
-            info.request_classes.iter().map(|c| c.name.as_str().into()).collect();
-        let classes = class_names.iter().map(|name| (name.clone(), Ends::default())).collect();
-        Ok(Core {
-            router: Router::new(settings.clone(), seed)?,
-            names: info.names(),
-            class_names,
-            deadlines: info.request_classes.iter().map(|c| c.deadline_ms()).collect(),
-            settings,
-            max_open: info.caps.max_open() as usize,
-            shards: info.domain.shards,
-            probe_timeout: info.caps.connect_timeout_ms(),
+        let mut core = Core {
+            router: Router::new(info.settings(), seed)?,
+            classes: Classes::default(),
+            tenants: BTreeMap::new(),
+            settings: Settings::default(),
+            max_open: 0,
+            shards: None,
+            probe_timeout: 0.0,
             ledger: Ledger::default(),
             inbox: Vec::new(),
             orders: VecDeque::new(),
             wake: None,
-            counters: Counters { classes, ..Counters::default() },
-        })
+            counters: Counters::default(),
+        };
+        core.retune(info)?;
+        Ok(core)
+    }
+
+    /// Takes up other settings. Queries under way keep their class; new ones of a class that is gone are not taken.
+    ///
+    /// # Errors
+    /// Says which setting contradicts itself; then nothing is changed.
+    pub fn retune(&mut self, info: &Info) -> Result<(), String> {
+        let mut settings = info.settings();
+        settings.check()?;
+        let queries = &self.ledger.queries;
+        self.classes.take(info, |place| queries.values().any(|query| query.class == place));
+        settings.classes = self.classes.for_router();
+        self.router.retune(settings.clone())?;
+        for name in self.classes.names() {
+            self.counters.classes.entry(name.clone()).or_default();
+        }
+        self.tenants = info.names().tenants;
+        self.settings = settings;
+        self.max_open = info.caps.max_open() as usize;
+        self.shards = info.domain.shards;
+        self.probe_timeout = info.caps.connect_timeout_ms();
+        Ok(())
+    }
+
+    /// The longest time that any query may take.
+    pub fn longest_deadline(&self) -> Millis {
+        self.classes.longest_deadline()
+    }
+
+    /// How many shards there are, if that is known.
+    pub fn shards(&self) -> Option<u32> {
+        self.shards
     }
 
     /// The least time between two steps.
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -28,7 +28,7 @@
             replica,
             part: format!("{}.{shard}", query.client_id),
             query: query.client_id.clone(),
-            class: self.class_names[query.class].clone(),
+            class: self.classes.at(query.class).name.clone(),
             shard,
             until,
             text: query.text.clone(),
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -15,13 +15,13 @@
     /// # Errors
     /// Says why the query was not taken; nothing is owed for it then.
     pub fn take_in(&mut self, now: Millis, ask: Ask) -> Result<QueryNo, NotTaken> {
-        let class = *self.names.classes.get(&ask.class).ok_or(NotTaken::UnknownClass)?;
+        let class = self.classes.named(&ask.class).ok_or(NotTaken::UnknownClass)?;
         check(&ask).map_err(NotTaken::Malformed)?;
         // A part of a shard that does not exist would reach run stores that do not hold it.
         if let Some(part) = ask.parts.iter().find(|part| self.shards.is_some_and(|most| part.shard >= most)) {
             return Err(NotTaken::Malformed(format!("there is no shard {}", part.shard)));
         }
-        let most = self.deadlines[class];
+        let most = self.classes.at(class).deadline;
         // No client waits longer than its class's give-up time; a longer wish would only hold memory.
         let deadline = now + ask.timeout.unwrap_or(most).min(most);
         let no = QueryNo(self.ledger.number());
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -173,7 +173,6 @@
     /// When this router last came back from a stall of its own.
     back: Millis,
     servers: BTreeMap<ServerNo, Server>,
-    cells: Vec<Vec<ServerNo>>,
     queries: BTreeMap<u64, Query>,
     numbers: HashMap<QueryId, u64>,
     parts: HashMap<PartId, (u64, usize)>,
@@ -241,16 +240,26 @@
     /// # Errors
     /// Says which setting contradicts itself.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, String> {
-        settings.check()?;
-        let min_aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
-        let m = Measures {
-            spread: vec![(0.0, 0.0); settings.classes.len()],
-            quota: settings.tenants.iter().map(|t| (t.quota_per_s, 0.0)).collect(),
-            further: FURTHER_BURST,
-            ..Measures::default()
-        };
         let rng = mix(seed ^ 0x9e37_79b9_7f4a_7c15);
-        Ok(Router { s: settings, min_aim, m, rng, own: rng, ..Router::default() })
+        let m = Measures { further: FURTHER_BURST, ..Measures::default() };
+        let mut router = Router { m, rng, own: rng, ..Router::default() };
+        router.retune(settings)?;
+        Ok(router)
+    }
+
+    /// Takes up other settings, in which classes that are held keep their places. What was learned stays.
+    ///
+    /// # Errors
+    /// Says which setting contradicts itself.
+    pub fn retune(&mut self, settings: Settings) -> Result<(), String> {
+        settings.check()?;
+        let (classes, now) = (settings.classes.len(), self.now);
+        self.min_aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        self.m.spread.resize(classes, (0.0, 0.0));
+        self.m.quota = settings.tenants.iter().map(|t| (t.quota_per_s, now)).collect();
+        self.servers.values_mut().for_each(|server| server.trust.resize(classes, (1.0, now)));
+        self.s = settings;
+        Ok(())
     }
 
     /// Takes in all that happened by `now` and says what to do.
@@ -326,12 +335,6 @@
             }
         }
         self.servers.retain(|_, s| s.line.state != ReplicaState::Gone || s.flights > 0);
-        self.cells = vec![Vec::new(); self.s.cells as usize];
-        for (number, server) in &self.servers {
-            if server.line.state == ReplicaState::Active {
-                self.cells[(server.line.cell % self.s.cells) as usize].push(*number);
-            }
-        }
     }
 
     fn take_query(&mut self, new: NewQuery) {
@@ -490,7 +493,7 @@
 
     /// Parks a replica, unless too many are and it is not sure to be gone; says whether it is parked.
     fn park(&mut self, number: ServerNo, sure: bool) -> bool {
-        let fleet: usize = self.cells.iter().map(Vec::len).sum();
+        let fleet = self.servers.values().filter(|s| s.line.state == ReplicaState::Active).count();
         let parked = self.servers.values().filter(|s| s.parked.is_some()).count();
         let shared = !sure && (parked + 1) as f64 > (SHARED_CAUSE * fleet as f64).max(1.0);
         let Some(server) = self.servers.get_mut(&number) else { return false };
@@ -690,10 +693,11 @@
     /// The replica of the part's shard with the least finish; `None` if none may take it now.
     fn choose(&self, part: &Part, class: usize) -> Option<ServerNo> {
         let left = (self.interval() + 1) as f64 * self.min_aim * INTERVAL_OF_AIM - self.now;
-        let cells = (0..self.s.width).map(|j| &self.cells[((part.shard.0 + j) % self.s.cells) as usize]);
+        let (cells, active) = (self.s.cells, |s: &&Server| s.line.state == ReplicaState::Active);
+        let holds = |s: &&Server| (s.line.cell % cells + cells - part.shard.0 % cells) % cells < self.s.width;
         let bears =
             |s: &Server| self.cold_room(s, class).is_none_or(|(room, most)| room >= part.cost.min(most));
-        let mut pool: Vec<&Server> = cells.flatten().filter_map(|number| self.servers.get(number)).collect();
+        let mut pool: Vec<&Server> = self.servers.values().filter(active).filter(holds).collect();
         pool.retain(|s| bears(s));
         let parked = pool.iter().all(|s| s.parked.is_some());
         // Where all are parked or full, tries are not thrown at them at once, nor is the last.
@@ -906,13 +910,13 @@
         let ran = query.parts.iter().any(|p| p.may_have_run.is_some() || p.out.is_some() || p.done);
         let id = query.id.clone();
         let retry_after = (class.aim * WAIT_OF_AIM).min(self.s.max_retry_after);
-        if (ran && class.repeat != Repeat::Safe) || query.second || (late && ran) {
+        let safe = class.repeat == Repeat::Safe;
+        self.actions.push(if (ran && !safe) || query.second || (late && ran) {
             // Only what is safe to repeat is asked back.
-            let retry_after = if class.repeat == Repeat::Safe { retry_after } else { 0.0 };
-            self.actions.push(Action::Fail { query: id, retry_after });
+            Action::Fail { query: id, retry_after: if safe { retry_after } else { 0.0 } }
         } else {
-            self.actions.push(Action::Refuse { query: id, retry_after });
-        }
+            Action::Refuse { query: id, retry_after }
+        });
         self.drop_query(number);
     }
 
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -31,14 +31,17 @@
 pub struct OpenSearch {
     driver: Rc<Driver>,
     door: Rc<Door>,
-    shards: u32,
     last: Cell<u64>,
 }
 
 impl OpenSearch {
-    /// A front before a driver, behind a door, over so many shards.
-    pub fn new(driver: Rc<Driver>, door: Rc<Door>, shards: u32) -> Self {
-        OpenSearch { driver, door, shards, last: Cell::new(0) }
+    /// A front before a driver, behind a door.
+    pub fn new(driver: Rc<Driver>, door: Rc<Door>) -> Self {
+        OpenSearch { driver, door, last: Cell::new(0) }
+    }
+
+    fn shards(&self) -> u32 {
+        self.driver.shards().unwrap_or(1)
     }
 
     fn refuse(&self, index: &str, Refusal(status, kind, why): Refusal) -> Response {
@@ -47,7 +50,7 @@
     }
 
     fn ask(&self, search: &Search, request: &Message) -> Result<Ask, Refusal> {
-        let shards = search.shards.clone().unwrap_or_else(|| (0..self.shards).collect());
+        let shards = search.shards.clone().unwrap_or_else(|| (0..self.shards()).collect());
         let weight = 1.0 / shards.len().max(1) as f64;
         self.last.set(self.last.get() + 1);
         let tenant = request.headers.get("x-tenant-id");
@@ -82,12 +85,12 @@
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
             ("GET" | "POST", path) => {
                 let index = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
-                let read = Search::read(&request, self.shards);
+                let read = Search::read(&request, self.shards());
                 let asked = read.and_then(|search| self.ask(&search, &request).map(|ask| (search, ask)));
                 match asked.map(|(search, ask)| (search, self.driver.ask(ask))) {
                     Ok((search, Ok(pending))) => {
                         let since = Instant::now();
-                        let shards = search.shards.clone().unwrap_or_else(|| (0..self.shards).collect());
+                        let shards = search.shards.clone().unwrap_or_else(|| (0..self.shards()).collect());
                         return Box::pin(async move {
                             let verdict = pending.verdict().await;
                             let took = since.elapsed().as_millis() as u64;
--- a/src/service.rs
+++ b/src/service/mod.rs
@@ -1,5 +1,7 @@
 //! The aggregator put together, from its start to its orderly end.
 
+pub mod reload;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -30,6 +32,7 @@
 use crate::transport::frames::Frames;
 use crate::transport::opensearch::Searches;
 use crate::transport::{self, span};
+use reload::Reloads;
 
 /// After SIGTERM, new connections still come for a while beyond the time for idle ones.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(250);
@@ -58,13 +61,7 @@
     let info = settle_settings(config, store.as_deref())?;
     let core = Core::new(&info, config.seed()).map_err(|why| format!("key settings: {why}"))?;
     let driver = Driver::new(core, executor.clone());
-    let limits = transport::Limits {
-        connect: span(info.caps.connect_timeout_ms()),
-        keep_alive: span(info.caps.keepalive_ms()),
-        streams: info.caps.streams_per_conn() as usize,
-        bundle: info.domain.bundle_max() as usize,
-        connections: config.store_connections(),
-    };
+    let limits = transport::Limits::of(&info, config.store_connections());
     let stores: Rc<dyn RunStores> = match config.api {
         Api::Platform => Rc::new(Frames::new(driver.clone(), limits)),
         Api::Opensearch => Rc::new(Searches::new(driver.clone(), limits)),
@@ -78,7 +75,7 @@
     driver.connect(stores, listing);
     driver.take_news(News::Cached(known.listed()));
     executor.spawn(driver.clone().run()).detach();
-    if let Some(store) = store {
+    if let Some(store) = store.clone() {
         executor.spawn(keep_directory(store, driver.clone())).detach();
     }
 
@@ -92,9 +89,7 @@
     let door = Rc::new(Door::default());
     let front: Box<dyn Handler> = match config.api {
         Api::Platform => Box::new(Platform::new(driver.clone(), door.clone())),
-        Api::Opensearch => {
-            Box::new(OpenSearch::new(driver.clone(), door.clone(), info.domain.shards.unwrap_or(1)))
-        }
+        Api::Opensearch => Box::new(OpenSearch::new(driver.clone(), door.clone())),
     };
     let server = Server::new("client", executor.clone(), front, limits, door.clone());
     let accepting = executor.spawn(server.clone().accept(listener));
@@ -109,9 +104,10 @@
     }
     log::line(&format!("{} listens on {at}", config.name));
 
+    let reloads = Reloads::new(path.into(), config.clone(), driver.clone(), reload, store);
     let attend = |signal| match signal {
         Signal::Usr1 => log::line(&format!("counters {}", driver.counters())),
-        Signal::Hup => take_up(path, config, &driver, &*reload),
+        Signal::Hup => reloads.reload(),
         _ => {}
     };
     until_told_to_end(&mut signals, attend).await;
@@ -126,7 +122,7 @@
         }
     };
     let last = async {
-        Timer::after(span(info.longest_deadline()) + LAST_WAIT).await;
+        Timer::after(span(driver.longest_deadline()) + LAST_WAIT).await;
     };
     let signals = async {
         loop {
@@ -154,24 +150,6 @@
     }
 }
 
-/// Reads the configuration again. One that is at fault changes nothing.
-fn take_up(path: &Path, started: &Config, driver: &Driver, directory: &dyn Reload) {
-    match Config::load(path) {
-        Ok(config) => {
-            for key in started.needs_restart(&config) {
-                log::line(&format!("reload: key {key} has changed and needs a restart"));
-            }
-            directory.reload(&config);
-            driver.count(|counters| counters.config_applied += 1);
-            log::line("reload: done");
-        }
-        Err(why) => {
-            driver.count(|counters| counters.config_rejected += 1);
-            log::line(&format!("reload: the old configuration stays: {why}"));
-        }
-    }
-}
-
 /// A directory for the core, and the same for reloads.
 type Listing = (Rc<dyn Directory>, Box<dyn Reload>);
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -177,11 +177,6 @@
         }
     }
 
-    /// The longest time that any query may take, in milliseconds.
-    pub fn longest_deadline(&self) -> f64 {
-        self.request_classes.iter().map(InfoClass::deadline_ms).fold(0.0, f64::max)
-    }
-
     /// The settings in the router's terms.
     pub fn settings(&self) -> api::Settings {
         let rules = &self.rules;
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -19,6 +19,7 @@
 use crate::core::drive::{Driver, RunStores};
 use crate::core::{Call, CallEnd, CallNo};
 use crate::log::{self, Reason};
+use crate::settings::Info;
 use crate::transport::{At, Limits};
 use link::{Ended, Link};
 
@@ -39,7 +40,7 @@
 /// The transport.
 pub struct Frames {
     driver: Rc<Driver>,
-    limits: Limits,
+    limits: Cell<Limits>,
     places: RefCell<BTreeMap<ReplicaId, Place>>,
     open: Cell<usize>,
 }
@@ -68,7 +69,7 @@
 impl Frames {
     /// A transport that reports to a driver.
     pub fn new(driver: Rc<Driver>, limits: Limits) -> Rc<Self> {
-        Rc::new(Frames { driver, limits, places: RefCell::default(), open: Cell::new(0) })
+        Rc::new(Frames { driver, limits: Cell::new(limits), places: RefCell::default(), open: Cell::new(0) })
     }
 
     /// A connection with room, or a new one; `None` if there may be no more.
@@ -83,7 +84,7 @@
         let now = Instant::now();
         let room = |c: &&Rc<Connection>| {
             let link = c.link.borrow();
-            c.closing.get().is_none() && !link.is_suspect() && link.load() < self.limits.streams
+            c.closing.get().is_none() && !link.is_suspect() && link.load() < self.limits.get().streams
         };
         let speaks = |c: &&Rc<Connection>| room(c) && !c.link.borrow().is_silent(now);
         if let Some(connection) = place.connections.iter().find(speaks) {
@@ -91,12 +92,12 @@
         }
         let last = place.connections.iter().filter(room).max_by_key(|c| c.link.borrow().heard());
         let many = last.is_some() && place.connections.len() >= MOST_AT_ONE;
-        if many || self.open.get() >= self.limits.connections {
+        if many || self.open.get() >= self.limits.get().connections {
             return last.cloned();
         }
-        let usual = last.map_or(self.limits.connect.mul_f64(FIRST_USUAL), |c| c.link.borrow().usual());
+        let usual = last.map_or(self.limits.get().connect.mul_f64(FIRST_USUAL), |c| c.link.borrow().usual());
         let connection = Rc::new(Connection {
-            link: RefCell::new(Link::new(self.limits.bundle, now, usual)),
+            link: RefCell::new(Link::new(self.limits.get().bundle, now, usual)),
             signal: async_channel::bounded(1),
             closing: Cell::new(None),
             kill: async_channel::bounded(1),
@@ -156,7 +157,7 @@
     async fn talk(&self, address: SocketAddr, connection: &Connection) -> Reason {
         let connect = async { TcpStream::connect(address).await.map_err(|_| Reason::ConnectFailed) };
         let limit = async {
-            Timer::after(self.limits.connect).await;
+            Timer::after(self.limits.get().connect).await;
             Err(Reason::ConnectTimeout)
         };
         let stream = match future::or(connect, limit).await {
@@ -178,7 +179,7 @@
             // A frame that has begun and does not end keeps back all that is out here.
             let stuck = async {
                 match begun {
-                    Some(at) => Timer::at(at + self.limits.connect).await,
+                    Some(at) => Timer::at(at + self.limits.get().connect).await,
                     None => future::pending().await,
                 };
                 Ok(None)
@@ -234,7 +235,7 @@
             };
             let rested = async {
                 if idle {
-                    Timer::after(self.limits.idle()).await;
+                    Timer::after(self.limits.get().idle()).await;
                     true
                 } else {
                     future::pending().await
@@ -316,6 +317,10 @@
         self.places.borrow().len()
     }
 
+    fn retune(&self, info: &Info) {
+        self.limits.set(Limits::of(info, self.limits.get().connections));
+    }
+
     fn locate(&self, replica: &ReplicaId, address: SocketAddr, started: Option<Millis>) {
         let at = Some((address, started));
         let moved = self.places.borrow().get(replica).is_some_and(|place| place.at != at);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::api::Millis;
+use crate::settings::Info;
 
 /// What transports keep to.
 #[derive(Debug, Clone, Copy)]
@@ -31,6 +32,17 @@
 const IDLE_SHARE: f64 = 0.8;
 
 impl Limits {
+    /// What settings say of connections, of which there may be so many.
+    pub fn of(info: &Info, connections: usize) -> Self {
+        Limits {
+            connect: span(info.caps.connect_timeout_ms()),
+            keep_alive: span(info.caps.keepalive_ms()),
+            streams: info.caps.streams_per_conn() as usize,
+            bundle: info.domain.bundle_max() as usize,
+            connections,
+        }
+    }
+
     fn idle(&self) -> Duration {
         self.keep_alive.mul_f64(IDLE_SHARE)
     }
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -21,6 +21,7 @@
 use crate::http::parse::Message;
 use crate::http::write;
 use crate::log::{self, Reason};
+use crate::settings::Info;
 use crate::transport::{At, Limits};
 use answer::Found;
 
@@ -78,7 +79,7 @@
 /// The transport.
 pub struct Searches {
     driver: Rc<Driver>,
-    limits: Limits,
+    limits: Cell<Limits>,
     places: RefCell<BTreeMap<ReplicaId, Place>>,
     open: Cell<usize>,
 }
@@ -86,7 +87,12 @@
 impl Searches {
     /// A transport that reports to a driver.
     pub fn new(driver: Rc<Driver>, limits: Limits) -> Rc<Self> {
-        Rc::new(Searches { driver, limits, places: RefCell::default(), open: Cell::new(0) })
+        Rc::new(Searches {
+            driver,
+            limits: Cell::new(limits),
+            places: RefCell::default(),
+            open: Cell::new(0),
+        })
     }
 
     fn queue(self: &Rc<Self>, replica: &ReplicaId, job: Job) {
@@ -121,7 +127,7 @@
             if place.workers.len() >= MOST_AT_ONE {
                 return;
             }
-            if self.open.get() >= self.limits.connections {
+            if self.open.get() >= self.limits.get().connections {
                 // With no connection at all, nobody would ever come for the queue.
                 if place.workers.is_empty() {
                     let refused = std::mem::take(&mut place.queue);
@@ -184,7 +190,7 @@
     }
 
     async fn talk(self: &Rc<Self>, replica: &ReplicaId, address: SocketAddr, worker: &Worker) -> Reason {
-        let mut client = match Client::connect(address, self.limits.connect, MOST_ANSWER).await {
+        let mut client = match Client::connect(address, self.limits.get().connect, MOST_ANSWER).await {
             Ok(client) => client,
             Err(error) if error.kind() == io::ErrorKind::TimedOut => return Reason::ConnectTimeout,
             Err(_) => return Reason::ConnectFailed,
@@ -198,7 +204,7 @@
                 Err(Reason::PeerClosed)
             };
             let rested = async {
-                Timer::after(self.limits.idle()).await;
+                Timer::after(self.limits.get().idle()).await;
                 Err(Reason::Idle)
             };
             let job = match future::or(closed, future::or(job, rested)).await {
@@ -357,6 +363,10 @@
         self.places.borrow().len()
     }
 
+    fn retune(&self, info: &Info) {
+        self.limits.set(Limits::of(info, self.limits.get().connections));
+    }
+
     fn locate(&self, replica: &ReplicaId, address: SocketAddr, started: Option<Millis>) {
         let at = Some((address, started));
         if self.places.borrow().get(replica).is_some_and(|place| place.at != at) {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod aggregator;
 mod calls;
 mod operator;
+mod settings;
 mod stand_in;
 
 use std::io::{Read, Write};
--- /dev/null
+++ b/tests/sockets/settings.rs
@@ -0,0 +1,112 @@
+//! New settings by SIGHUP.
+
+use serde_json::{json, Value};
+
+use crate::aggregator::{answer, Aggregator};
+use crate::stand_in::{Act, WIRES};
+
+/// The class `run-lookup` under another name, whose parts must not run twice.
+fn renamed(config: &mut Value) {
+    config["settings"]["request_classes"][1]["name"] = json!("run-lookup-next");
+    config["settings"]["request_classes"][1]["repeat"] = json!("non_idempotent");
+}
+
+#[test]
+fn classes_come_and_go_at_a_reload_and_what_is_under_way_keeps_its_own() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        for store in 0..2 {
+            aggregator.board.act(store, Act::Silent);
+        }
+        let mut held = aggregator.begin("run-lookup", &[0], 9000);
+        aggregator.board.wait("the part", |state| state.parts.len() == 1);
+        assert_eq!(aggregator.ask("run-lookup-next", &[0], 9000).status, 404, "{wire:?}");
+        aggregator.reload(&aggregator.configuration(renamed));
+        aggregator.logged("reload: done");
+        assert_eq!(aggregator.ask("run-lookup", &[0], 9000).status, 404, "{wire:?}: its class is gone");
+        let mut new = aggregator.begin("run-lookup-next", &[1], 700);
+        aggregator.board.wait("its part", |state| state.parts.iter().any(|part| part.1 == 1));
+        assert_eq!(answer(&mut new).status, 500, "{wire:?}: a class whose parts must not run twice");
+        let of_new = aggregator.board.read(|state| state.parts.iter().filter(|part| part.1 == 1).count());
+        assert_eq!(of_new, 1, "{wire:?}");
+        // The old one may be repeated, and is, as its run store says nothing.
+        for store in 0..2 {
+            aggregator.board.act(store, Act::Serve);
+        }
+        assert!(answer(&mut held).whole(), "{wire:?}: served by another attempt");
+        let stats = aggregator.call("GET", "/stats").body;
+        for line in ["responses.run-lookup.ok:1|c", "responses.run-lookup-next.errors:1|c"] {
+            assert!(stats.contains(line), "{wire:?} {line}: {stats}");
+        }
+    }
+}
+
+#[test]
+fn fewer_attempts_and_another_limit_hold_from_the_reload_on() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        for store in 0..2 {
+            aggregator.board.act(store, Act::Error);
+        }
+        assert_eq!(aggregator.ask("run-lookup", &[0], 9000).status, 500, "{wire:?}");
+        assert_eq!(aggregator.board.read(|state| state.parts.len()), 3, "{wire:?}");
+        aggregator.reload(&aggregator.configuration(|config| {
+            config["settings"]["caps"]["max_attempts"] = json!(1);
+            config["settings"]["caps"]["max_open"] = json!(2);
+        }));
+        aggregator.logged("reload: done");
+        assert_eq!(aggregator.ask("run-lookup", &[0], 9000).status, 500, "{wire:?}");
+        assert_eq!(aggregator.board.read(|state| state.parts.len()), 4, "{wire:?}: one attempt");
+        aggregator.board.act(0, Act::Silent);
+        aggregator.board.act(1, Act::Silent);
+        let held = aggregator.begin("run-lookup", &[1, 2], 9000);
+        aggregator.board.wait("both parts", |state| state.parts.len() == 6);
+        assert!(aggregator.ask("run-lookup", &[0], 9000).refused(), "{wire:?}");
+        drop(held);
+    }
+}
+
+#[test]
+fn nothing_is_taken_of_a_broken_file() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        let whole = aggregator.configuration(|_| {});
+        let broken = |change: fn(&mut Value)| {
+            let mut config = serde_json::from_str(&whole).unwrap();
+            renamed(&mut config);
+            change(&mut config);
+            config.to_string()
+        };
+        let files = [
+            (String::new(), "EOF"),
+            (whole[..whole.len() / 2].to_string(), "EOF"),
+            (broken(|config| config["settings"] = Value::Null), "key settings:"),
+            (
+                broken(|config| config["settings"]["request_classes"][1]["deadline_ms"] = json!(0)),
+                "deadline_ms:",
+            ),
+            (
+                broken(|config| config["settings"]["request_classes"][1]["deadline_ms"] = json!(null)),
+                "deadline_ms:",
+            ),
+            (broken(|config| config["settings"]["caps"]["max_attempts"] = json!(-1)), "max_attempts:"),
+            (broken(|config| config["settings"]["caps"]["max_attempts"] = json!(0)), "attempts"),
+            (
+                broken(|config| {
+                    config["settings"]["caps"].as_object_mut().unwrap().remove("max_attempts");
+                }),
+                "max_attempts: is missing",
+            ),
+        ];
+        for (file, fault) in &files {
+            aggregator.reload(file);
+            let line = aggregator.logged("reload: the old configuration stays");
+            assert!(line.contains(fault), "{wire:?}: {line}");
+            assert!(aggregator.ask("run-lookup", &[0], 9000).whole(), "{wire:?}: {line}");
+            assert_eq!(aggregator.ask("run-lookup-next", &[0], 9000).status, 404, "{wire:?}: {line}");
+        }
+        let stats = aggregator.call("GET", "/stats").body;
+        let counted = format!("aggregator.config_rejected:{}|c", files.len());
+        assert!(stats.contains(&counted) && stats.contains("aggregator.config_applied:0|c"), "{stats}");
+    }
+}
