Take run stores out by hand and bring them back as cold ones

The list that a directory tells was the only thing that could stop attempts. Ruled out: leaving the start time as discovery tells it after `ready`. It lags seconds behind, and until then the restarted run store would have been given a warm one's load.

--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -126,6 +126,15 @@
         self.waiting.borrow().len()
     }
 
+    /// Takes a run store out by hand, or brings it back; `false` if no such was ever listed. From the return on
+    /// nothing more is begun there.
+    pub fn by_hand(self: &Rc<Self>, id: &ReplicaId, out: bool) -> bool {
+        let now = self.now();
+        let known = self.core.borrow_mut().by_hand(now, id, out);
+        self.carry_out();
+        known
+    }
+
     /// Takes up other settings, here and in the transport.
     ///
     /// # Errors
--- /dev/null
+++ b/src/core/hand.rs
@@ -0,0 +1,74 @@
+//! What operators have said of run stores, laid over what any directory tells.
+//!
+//! One that is out by hand drains, whatever is told of it. One that is back was restarted meanwhile, as far as
+//! anybody knows here: discovery is seconds behind, and may tell of it late or not at all.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use super::{Core, News};
+use crate::api::{Millis, Replica, ReplicaId, ReplicaState};
+
+/// Ids of run stores that were listed once which are remembered.
+const MOST_GONE: usize = 4096;
+/// How long one that is back and not listed is remembered.
+const BACK_FOR: Millis = 600_000.0;
+
+/// Run stores of which operators have spoken.
+#[derive(Debug, Clone, Default)]
+pub struct Hand {
+    out: BTreeSet<ReplicaId>,
+    /// When each that is back was called back.
+    back: BTreeMap<ReplicaId, Millis>,
+    /// Ids that were listed once and are not, oldest first.
+    gone: VecDeque<ReplicaId>,
+}
+
+impl Hand {
+    /// A line of the list as it holds here.
+    pub(super) fn over(&self, told: &Replica) -> Replica {
+        let mut line = told.clone();
+        if self.out.contains(&line.id) && line.state == ReplicaState::Active {
+            line.state = ReplicaState::Draining;
+        }
+        // A start that is told and lies before the call back is the restart that the call speaks of, or older.
+        let back = self.back.get(&line.id).copied();
+        line.started = back.filter(|at| line.started.is_none_or(|told| told <= *at)).or(line.started);
+        line
+    }
+
+    /// A run store is no longer listed.
+    pub(super) fn forget(&mut self, id: &ReplicaId) {
+        if !self.gone.contains(id) {
+            if self.gone.len() == MOST_GONE {
+                self.gone.pop_front();
+            }
+            self.gone.push_back(id.clone());
+        }
+    }
+}
+
+impl Core {
+    /// Takes a run store out by hand, or brings it back; `false` if no such was ever listed. Said again, it
+    /// changes nothing.
+    pub fn by_hand(&mut self, now: Millis, id: &ReplicaId, out: bool) -> bool {
+        let listed = self.ledger.places.contains_key(id);
+        if !listed && !self.hand.gone.contains(id) {
+            return false;
+        }
+        let changed = match out {
+            true => self.hand.out.insert(id.clone()),
+            false => self.hand.out.remove(id),
+        };
+        if changed {
+            let places = &self.ledger.places;
+            self.hand.back.retain(|id, at| places.contains_key(id) || now - *at < BACK_FOR);
+            if !out {
+                self.hand.back.insert(id.clone(), now);
+            }
+            // The list as last told, under what operators say now. It is none that the directory has sent, so that
+            // a watch that is being waited for is still waited for.
+            self.take_news(News::Cached(self.directory()));
+        }
+        true
+    }
+}
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -59,7 +59,9 @@
 /// What is known of a run store's place.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Place {
-    /// Its line in the list, with its state as last told.
+    /// Its line in the list as last told.
+    pub told: Replica,
+    /// The line as it holds here, under what operators say.
     pub replica: Replica,
     /// Where it listens, and since when its process runs.
     pub at: Option<(std::net::SocketAddr, Option<Millis>)>,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod book;
 pub mod classes;
 pub mod drive;
+pub mod hand;
 pub mod ledger;
 pub mod relay;
 pub mod route;
@@ -27,6 +28,7 @@
 use crate::settings::Info;
 use crate::Router;
 use classes::Classes;
+use hand::Hand;
 use ledger::{Ledger, Place};
 
 /// A query as a front took it from its client.
@@ -231,6 +233,7 @@
     shards: Option<u32>,
     probe_timeout: Millis,
     ledger: Ledger,
+    hand: Hand,
     /// Events that wait for the next step.
     inbox: Vec<Event>,
     orders: VecDeque<Order>,
@@ -254,6 +257,7 @@
             shards: None,
             probe_timeout: 0.0,
             ledger: Ledger::default(),
+            hand: Hand::default(),
             inbox: Vec::new(),
             orders: VecDeque::new(),
             wake: None,
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -35,7 +35,9 @@
 
     fn probe(&mut self, replica: crate::api::ReplicaId) {
         let place = self.ledger.places.get(&replica);
-        let listed = place.is_some_and(|place| place.at.is_some());
+        // Nothing new goes to one that drains, a probe of an earlier park included.
+        let listed =
+            place.is_some_and(|place| place.at.is_some() && place.replica.state == ReplicaState::Active);
         // One probe at a time for each run store: a second would only add load to one in trouble.
         if self.ledger.probes.values().any(|known| *known == replica) {
             return;
@@ -63,13 +65,15 @@
                 self.ledger.places.keys().filter(|id| !named((*id).clone())).cloned().collect();
             for id in missing {
                 self.ledger.places.remove(&id);
+                self.hand.forget(&id);
                 self.orders.push_back(Order::Retire(id));
             }
         }
         for line in listed {
             self.locate(line);
         }
-        let replicas = |lines: Vec<Listed>| lines.into_iter().map(|line| line.replica).collect();
+        let hand = &self.hand;
+        let replicas = |lines: Vec<Listed>| lines.iter().map(|line| hand.over(&line.replica)).collect();
         self.inbox.push(Event::List(match news {
             News::Cached(lines) => ListNews::Cached(replicas(lines)),
             News::Full(lines) => ListNews::Full(replicas(lines)),
@@ -78,22 +82,22 @@
         }));
     }
 
-    /// The list as last told.
+    /// The list as last told, whatever operators say.
     pub fn directory(&self) -> Vec<Listed> {
         let line = |place: &Place| Listed {
-            replica: place.replica.clone(),
+            replica: place.told.clone(),
             address: place.at.map(|(address, _)| address),
         };
         self.ledger.places.values().map(line).collect()
     }
 
     fn locate(&mut self, line: &Listed) {
-        let (id, state) = (line.replica.id.clone(), line.replica.state);
+        let replica = self.hand.over(&line.replica);
+        let (id, state) = (replica.id.clone(), replica.state);
         let place = self.ledger.places.get(&id);
         let known =
             place.filter(|place| place.replica.state == ReplicaState::Active).and_then(|place| place.at);
-        let at =
-            line.address.map(|address| (address, line.replica.started)).or(place.and_then(|place| place.at));
+        let at = line.address.map(|address| (address, replica.started)).or(place.and_then(|place| place.at));
         if state == ReplicaState::Active {
             if let Some((address, started)) = at.filter(|_| known != at) {
                 self.orders.push_back(Order::Locate { replica: id.clone(), address, started });
@@ -105,8 +109,9 @@
         if state == ReplicaState::Gone {
             // Run stores are replaced by new ones with new names all day: nothing is kept of the old ones.
             self.ledger.places.remove(&id);
+            self.hand.forget(&id);
             return;
         }
-        self.ledger.places.insert(id, Place { replica: line.replica.clone(), at });
+        self.ledger.places.insert(id, Place { told: line.replica.clone(), replica, at });
     }
 }
--- a/src/front/opensearch/search.rs
+++ b/src/front/opensearch/search.rs
@@ -8,9 +8,10 @@
 use std::collections::BTreeMap;
 
 use super::merge::Order;
-use super::target::{routed, time, Target};
+use super::target::{routed, time};
 use crate::api::Millis;
 use crate::http::parse::Message;
+use crate::http::target::Target;
 
 /// As many hits as a search asks for by itself, and the most that it may ask for.
 const USUAL_SIZE: usize = 10;
--- a/src/front/opensearch/target.rs
+++ b/src/front/opensearch/target.rs
@@ -1,46 +1,7 @@
-//! Request targets: path and query string, percent-decoded; time units; and which shards a routing names.
+//! Time units, and which shard a routing names.
 
 use crate::api::Millis;
 
-/// The path's parts and the parameters of a request target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Target {
-    /// The parts of the path between slashes.
-    pub path: Vec<String>,
-    /// The parameters, in their order.
-    pub parameters: Vec<(String, String)>,
-}
-
-impl Target {
-    /// Reads a target; `None` if an escape in it is malformed.
-    pub fn read(target: &str) -> Option<Self> {
-        let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let path = path.split('/').filter(|part| !part.is_empty()).map(|part| decode(part, false));
-        let parameters = query.split('&').filter(|pair| !pair.is_empty()).map(|pair| {
-            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-            Some((decode(name, true)?, decode(value, true)?))
-        });
-        Some(Target { path: path.collect::<Option<_>>()?, parameters: parameters.collect::<Option<_>>()? })
-    }
-}
-
-fn decode(text: &str, plus: bool) -> Option<String> {
-    let mut bytes = Vec::with_capacity(text.len());
-    let mut rest = text.bytes();
-    while let Some(byte) = rest.next() {
-        bytes.push(match byte {
-            b'%' => {
-                let digit = |byte: u8| (byte as char).to_digit(16);
-                let (high, low) = (digit(rest.next()?)?, digit(rest.next()?)?);
-                (high * 16 + low) as u8
-            }
-            b'+' if plus => b' ',
-            byte => byte,
-        });
-    }
-    String::from_utf8(bytes).ok()
-}
-
 /// A time with its unit, as in `500ms` or `2s`.
 pub fn time(text: &str) -> Option<Millis> {
     let cut = text.find(|c: char| c.is_ascii_alphabetic())?;
@@ -84,16 +45,6 @@
 mod tests {
     use super::*;
 
-    #[test]
-    fn targets_are_decoded() {
-        let target = Target::read("/run-search/_search?preference=_shards%3A1%2C2&x=a+b").unwrap();
-        assert_eq!(target.path, ["run-search", "_search"]);
-        assert_eq!(target.parameters[0], ("preference".into(), "_shards:1,2".into()));
-        assert_eq!(target.parameters[1].1, "a b");
-        assert_eq!(Target::read("/a%2"), None);
-        assert_eq!(Target::read("/a%ff"), None);
-    }
-
     #[test]
     fn times_need_a_unit() {
         assert_eq!(time("250ms"), Some(250.0));
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,4 +4,5 @@
 pub mod door;
 pub mod parse;
 pub mod server;
+pub mod target;
 pub mod write;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -11,6 +11,7 @@
 use crate::http::door::{Door, State};
 use crate::http::parse::{Bad, Message};
 use crate::http::server::{Handler, Limits, Local, Server};
+use crate::http::target::Target;
 use crate::http::write::Response;
 use crate::log;
 
@@ -38,16 +39,21 @@
         server.accept(listener).await;
     }
 
-    fn call(&self, method: &str, path: &str) -> Response {
-        let words: Vec<&str> = path.strip_prefix('/').unwrap_or(path).split('/').collect();
+    fn call(&self, method: &str, target: &str) -> Response {
+        let Some(target) = Target::read(target) else {
+            return Response::text(400, "an escape in the path is malformed");
+        };
+        let words: Vec<&str> = target.path.iter().map(String::as_str).collect();
         match (method, &words[..]) {
             // A process that listens here serves; whether it wants clients is told at their address.
             ("GET", ["healthcheck"]) => yes("ready"),
             ("GET", ["stats"]) => Response::text(200, &self.stats()),
+            ("PUT", ["run-stores", id, "maint"]) => self.by_hand(id, true),
+            ("PUT", ["run-stores", id, "ready"]) => self.by_hand(id, false),
             ("PUT", ["healthcheck", "fail"]) => self.turn(State::Shut, "draining"),
             ("PUT", ["healthcheck", "ok"]) => self.turn(State::Open, "ready"),
             (_, ["healthcheck"] | ["stats"]) => wrong_method("GET"),
-            (_, ["healthcheck", "fail" | "ok"]) => wrong_method("PUT"),
+            (_, ["healthcheck", "fail" | "ok"] | ["run-stores", _, "maint" | "ready"]) => wrong_method("PUT"),
             _ => Response::text(404, "no such call"),
         }
     }
@@ -56,6 +62,15 @@
         counters::stats(&self.driver.counters(), &self.driver.gauges())
     }
 
+    fn by_hand(&self, id: &str, out: bool) -> Response {
+        if !self.driver.by_hand(&id.into(), out) {
+            return Response::text(404, "no such run store was ever listed");
+        }
+        let word = if out { "out" } else { "back" };
+        log::line(&format!("operator: {id} {word}"));
+        yes(word)
+    }
+
     fn turn(&self, state: State, word: &str) -> Response {
         if !self.door.by_hand(state) {
             return Response::text(409, "the program is to end");
@@ -75,8 +90,7 @@
 
 impl Handler for Operator {
     fn handle(&self, request: Message) -> Local<Response> {
-        let path = request.start.1.split('?').next().unwrap_or("");
-        let response = self.call(&request.start.0, path);
+        let response = self.call(&request.start.0, &request.start.1);
         Box::pin(async move { response })
     }
 
--- a/tests/sockets/calls.rs
+++ b/tests/sockets/calls.rs
@@ -179,3 +179,64 @@
     assert_eq!(asks_health(&aggregator), 503);
     drop(held);
 }
+
+#[test]
+fn a_run_store_that_is_out_by_hand_gets_nothing_until_it_is_called_back() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        for id in ["s-9", "s-0%", "", "s-0/x"] {
+            let path = format!("/run-stores/{id}/maint");
+            let status = aggregator.call("PUT", &path).status;
+            assert!((400..500).contains(&status), "{wire:?} {path}: {status}");
+        }
+        assert_eq!(aggregator.call("GET", "/run-stores/s-0/maint").status, 405, "{wire:?}");
+        let at = |since: usize| {
+            aggregator.board.read(|state| state.parts[since..].iter().filter(|part| part.0 == 0).count())
+        };
+        for _ in 0..2 {
+            assert_eq!(aggregator.call("PUT", "/run-stores/s-0/maint").status, 200, "{wire:?}");
+        }
+        assert_eq!(figure(&aggregator.call("GET", "/stats").body, "pool_ejected"), "1|g", "{wire:?}");
+        // Neither a list that names it, nor a reload, nor a new start brings it back.
+        let told = [line(0, aggregator.stores[0], "ready", 5), line(1, aggregator.stores[1], "ready", 0)];
+        aggregator.board.tell(json!(told));
+        aggregator.reload(&aggregator.configuration(|_| {}));
+        aggregator.logged("reload: done");
+        for shard in 0..4 {
+            assert!(aggregator.ask("run-lookup", &[shard], 8000).whole(), "{wire:?}");
+        }
+        assert_eq!(at(0), 0, "{wire:?}: nothing went there");
+        let since = aggregator.board.read(|state| state.parts.len());
+        for _ in 0..2 {
+            assert_eq!(aggregator.call("PUT", "/run-stores/s-0/ready").status, 200, "{wire:?}");
+        }
+        aggregator.board.tell(json!([line(1, aggregator.stores[1], "draining", 0)]));
+        assert!(aggregator.ask("run-lookup", &[0], 8000).whole(), "{wire:?}");
+        assert_eq!(at(since), 1, "{wire:?}: used again");
+    }
+}
+
+#[test]
+fn what_is_queued_for_a_run_store_goes_elsewhere_once_it_is_out() {
+    for wire in WIRES {
+        // One call at a time on a frames connection, so that further ones are queued.
+        let aggregator = Aggregator::changed(wire, 2, |config, _| {
+            config["settings"]["caps"]["streams_per_conn"] = json!(1);
+        });
+        aggregator.board.act(0, Act::Silent);
+        aggregator.board.act(1, Act::Silent);
+        let held: Vec<_> = (0..4).map(|shard| aggregator.begin("shift-entry", &[shard], 9000)).collect();
+        aggregator
+            .board
+            .wait("a part at each", |state| (0..2).all(|at| state.parts.iter().any(|p| p.0 == at)));
+        assert_eq!(aggregator.call("PUT", "/run-stores/s-0/maint").status, 200, "{wire:?}");
+        let before = aggregator.board.read(|state| state.parts.iter().filter(|part| part.0 == 0).count());
+        aggregator.board.act(1, Act::Serve);
+        for shard in 0..4 {
+            assert!(aggregator.ask("run-lookup", &[shard], 9000).whole(), "{wire:?}");
+        }
+        let after = aggregator.board.read(|state| state.parts.iter().filter(|part| part.0 == 0).count());
+        assert_eq!(after, before, "{wire:?}: nothing more went there");
+        drop(held);
+    }
+}
