--- a/src/api.rs
+++ b/src/api.rs
@@ -5,13 +5,15 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 /// Milliseconds, as a point on the caller's clock or a span of it.
 pub type Millis = f64;
 
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub Arc<str>);
 
         impl From<&str> for $name {
@@ -195,7 +197,7 @@
 }
 
 /// The standing of a replica in the list.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReplicaState {
     /// It takes new parts.
     #[default]
@@ -207,7 +209,7 @@
 }
 
 /// A line of the list of replicas.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Replica {
     /// Its name.
     pub id: ReplicaId,
@@ -237,7 +239,7 @@
 }
 
 /// How busy a replica said it is; each value only where the site reports it.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Parts waiting.
     pub queue: Option<f64>,
--- a/src/config.rs
+++ b/src/config.rs
@@ -16,6 +16,8 @@
 /// Descriptors kept for everything else: standard streams, the reactor, listeners, discovery, operators' calls.
 const SPARE_DESCRIPTORS: usize = 64;
 const LEAST_DESCRIPTORS: usize = 128;
+/// However much another process holds, this one serves.
+const LEAST_CONNECTIONS: usize = 8;
 
 /// The configuration of an aggregator.
 #[derive(Debug, Clone, Deserialize)]
@@ -249,14 +251,18 @@
         u64::from_str_radix(&self.seed, 16).unwrap_or(0)
     }
 
-    /// How many connections clients may hold.
-    pub fn client_connections(&self) -> usize {
-        (self.limits.sockets - SPARE_DESCRIPTORS) * 2 / 3
+    /// How many connections clients may hold, where another process of this aggregator holds so many descriptors.
+    pub fn client_connections(&self, elsewhere: usize) -> usize {
+        (self.descriptors(elsewhere) * 2 / 3).max(LEAST_CONNECTIONS)
     }
 
     /// How many connections to run stores there may be.
-    pub fn store_connections(&self) -> usize {
-        (self.limits.sockets - SPARE_DESCRIPTORS) / 5
+    pub fn store_connections(&self, elsewhere: usize) -> usize {
+        (self.descriptors(elsewhere) / 5).max(LEAST_CONNECTIONS)
+    }
+
+    fn descriptors(&self, elsewhere: usize) -> usize {
+        self.limits.sockets.saturating_sub(SPARE_DESCRIPTORS + elsewhere)
     }
 }
 
@@ -312,7 +318,7 @@
     fn what_is_not_said_has_a_default() {
         let config = parse(&format!(r#""discovery":"127.0.0.1:1",{SETTINGS}"#)).unwrap();
         assert_eq!((config.limits.sockets, config.api, config.seed()), (1024, Api::Platform, 0));
-        assert!(config.client_connections() + config.store_connections() + SPARE_DESCRIPTORS <= 1024);
+        assert!(config.client_connections(0) + config.store_connections(0) + SPARE_DESCRIPTORS <= 1024);
     }
 
     #[test]
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -8,7 +8,7 @@
     pub(super) fn admit(&mut self, now: Millis, no: QueryNo, class: usize, deadline: Millis, ask: Ask) {
         // At the limit a query is turned away before the router hears of it, so that what is held
         // stays bounded whatever comes in. Nothing of it has run: a refusal is safe.
-        if self.ledger.open() >= self.max_open || deadline <= now {
+        if self.ledger.open() + self.held_elsewhere >= self.max_open || deadline <= now {
             self.counters.turned_away += 1;
             let verdict = Verdict::Refused { retry_after: self.advice(class) };
             self.counters.answered(&self.classes.at(class).name, &verdict);
--- a/src/core/classes.rs
+++ b/src/core/classes.rs
@@ -27,8 +27,8 @@
 }
 
 impl Classes {
-    /// Takes the classes of some settings. One that was there already keeps its place; another gets one that
-    /// is not held, or a new one. A place that is neither held nor needed becomes like one that is needed, so
+    /// Takes the classes of some settings. One that was there already keeps its place; another gets the one that
+    /// its name had, or any that is not held, or a new one. A place that is neither held nor needed becomes like one that is needed, so
     /// that a class that is gone has no bearing on anything.
     pub fn take(&mut self, info: &Info, held: impl Fn(usize) -> bool) {
         let told = info.settings().classes;
@@ -48,7 +48,10 @@
         self.names.clear();
         for kind in &kinds {
             let same = self.places.iter().position(|known| known == kind);
-            let at = same.or_else(|| taken.iter().position(|taken| !taken)).unwrap_or(self.places.len());
+            let free = |at: &usize| !taken[*at];
+            let named = (0..self.places.len()).filter(free).find(|at| self.places[*at].name == kind.name);
+            let any = || (0..self.places.len()).find(free);
+            let at = same.or(named).or_else(any).unwrap_or(self.places.len());
             if at == self.places.len() {
                 self.places.push(kind.clone());
                 taken.push(true);
@@ -64,6 +67,25 @@
         }
     }
 
+    /// Places in the order of another process, as what it learned goes by them. None of them is held.
+    pub fn in_order(&mut self, names: &[String], info: &Info) {
+        *self = Classes::default();
+        self.take(info, |_| false);
+        let mut places = self.places.clone();
+        places.truncate(names.len());
+        places.resize(names.len(), self.places[0].clone());
+        for (place, name) in places.iter_mut().zip(names) {
+            place.name = name.as_str().into();
+        }
+        self.places = places;
+        self.take(info, |_| false);
+    }
+
+    /// The names by place, also of classes that may not be asked for.
+    pub fn order(&self) -> Vec<String> {
+        self.places.iter().map(|kind| kind.name.to_string()).collect()
+    }
+
     /// The place of a class that may be asked for.
     pub fn named(&self, name: &str) -> Option<usize> {
         self.names.get(name).copied()
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -11,6 +11,7 @@
 use async_io::Timer;
 use futures_lite::future;
 
+use super::legacy::Legacy;
 use super::{Ask, Call, CallEnd, CallNo, Core, News, NotTaken, Order, QueryNo, Verdict};
 use crate::api::{LoadReport, Millis, ReplicaId};
 use crate::counters::{Counters, Gauges};
@@ -34,6 +35,10 @@
     fn locate(&self, replica: &ReplicaId, address: std::net::SocketAddr, started: Option<Millis>);
     /// The number of run stores of which anything is kept.
     fn places(&self) -> usize;
+    /// The number of connections.
+    fn open(&self) -> usize;
+    /// There may be so many connections from now on.
+    fn room(&self, connections: usize);
     /// Takes up other settings.
     fn retune(&self, info: &Info);
 }
@@ -42,6 +47,10 @@
 pub trait Directory {
     /// Starts the watch unless it is on. News go to [`Driver::take_news`].
     fn watch(&self);
+    /// The version of the list that was told last, if lists have versions here.
+    fn version(&self) -> Option<u64> {
+        None
+    }
 }
 
 /// A core with its clock and its neighbours.
@@ -128,13 +137,47 @@
 
     /// Takes a run store out by hand, or brings it back; `false` if no such was ever listed. From the return on
     /// nothing more is begun there.
-    pub fn by_hand(self: &Rc<Self>, id: &ReplicaId, out: bool) -> bool {
-        let now = self.now();
+    pub fn by_hand(self: &Rc<Self>, now: Millis, id: &ReplicaId, out: bool) -> bool {
         let known = self.core.borrow_mut().by_hand(now, id, out);
         self.carry_out();
         known
     }
 
+    /// The same, as another process of this aggregator was told at some time.
+    pub fn told_by_hand(self: &Rc<Self>, at: Millis, id: &ReplicaId, out: bool) {
+        self.core.borrow_mut().told_by_hand(at, id, out);
+        self.carry_out();
+    }
+
+    /// What a process that takes over is to know.
+    pub fn legacy(&self) -> Legacy {
+        self.core.borrow().legacy()
+    }
+
+    /// Queries and parts that are held.
+    pub fn held(&self) -> usize {
+        self.core.borrow().held()
+    }
+
+    /// Connections to run stores.
+    pub fn connections(&self) -> usize {
+        self.stores.get().map_or(0, |stores| stores.open())
+    }
+
+    /// Leaves room for what another process of this aggregator holds: queries and parts, and by that only so
+    /// many connections to run stores here.
+    pub fn leave_room(&self, held: usize, connections: usize) {
+        self.core.borrow_mut().leave_room(held);
+        if let Some(stores) = self.stores.get() {
+            stores.room(connections);
+        }
+    }
+
+    /// The version of the list, where its directory has one.
+    pub fn version(&self) -> Option<u64> {
+        self.directory.get()?.version()
+    }
+
     /// Takes up other settings, here and in the transport.
     ///
     /// # Errors
--- a/src/core/hand.rs
+++ b/src/core/hand.rs
@@ -5,6 +5,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use serde::{Deserialize, Serialize};
+
 use super::{Core, News};
 use crate::api::{Millis, Replica, ReplicaId, ReplicaState};
 
@@ -14,7 +16,7 @@
 const BACK_FOR: Millis = 600_000.0;
 
 /// Run stores of which operators have spoken.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Hand {
     out: BTreeSet<ReplicaId>,
     /// When each that is back was called back.
@@ -51,24 +53,28 @@
     /// Takes a run store out by hand, or brings it back; `false` if no such was ever listed. Said again, it
     /// changes nothing.
     pub fn by_hand(&mut self, now: Millis, id: &ReplicaId, out: bool) -> bool {
-        let listed = self.ledger.places.contains_key(id);
-        if !listed && !self.hand.gone.contains(id) {
-            return false;
+        let known = self.ledger.places.contains_key(id) || self.hand.gone.contains(id);
+        if known {
+            self.told_by_hand(now, id, out);
         }
+        known
+    }
+
+    /// The same, as another process of this aggregator was told at some time: there it was listed.
+    pub fn told_by_hand(&mut self, at: Millis, id: &ReplicaId, out: bool) {
         let changed = match out {
             true => self.hand.out.insert(id.clone()),
             false => self.hand.out.remove(id),
         };
         if changed {
             let places = &self.ledger.places;
-            self.hand.back.retain(|id, at| places.contains_key(id) || now - *at < BACK_FOR);
+            self.hand.back.retain(|id, since| places.contains_key(id) || at - *since < BACK_FOR);
             if !out {
-                self.hand.back.insert(id.clone(), now);
+                self.hand.back.insert(id.clone(), at);
             }
             // The list as last told, under what operators say now. It is none that the directory has sent, so that
             // a watch that is being waited for is still waited for.
             self.take_news(News::Cached(self.directory()));
         }
-        true
     }
 }
--- /dev/null
+++ b/src/core/legacy.rs
@@ -0,0 +1,46 @@
+//! What a core leaves to the core of a process that takes over from it, and what two such cores share meanwhile.
+
+use serde::{Deserialize, Serialize};
+
+use super::hand::Hand;
+use super::Core;
+use crate::settings::Info;
+
+/// What the rules see as one aggregator's, beside the list of run stores.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Legacy {
+    /// What operators have said.
+    pub hand: Hand,
+    /// What the router has learned, by the places of classes.
+    learned: String,
+    /// The classes by their places.
+    classes: Vec<String>,
+}
+
+impl Core {
+    /// What the process that takes over is to know.
+    pub fn legacy(&self) -> Legacy {
+        Legacy { hand: self.hand.clone(), learned: self.router.learned(), classes: self.classes.order() }
+    }
+
+    /// Takes that over, before any list; says whether what was learned could be read.
+    ///
+    /// # Errors
+    /// Says which setting contradicts itself.
+    pub fn inherit(&mut self, info: &Info, legacy: Legacy) -> Result<bool, String> {
+        self.hand = legacy.hand;
+        self.classes.in_order(&legacy.classes, info);
+        self.retune(info)?;
+        Ok(self.router.recall(&legacy.learned))
+    }
+
+    /// Queries and parts that are held.
+    pub fn held(&self) -> usize {
+        self.ledger.open()
+    }
+
+    /// Leaves room for what another process of this aggregator holds, under the limit on both.
+    pub fn leave_room(&mut self, held: usize) {
+        self.held_elsewhere = held;
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod drive;
 pub mod hand;
 pub mod ledger;
+pub mod legacy;
 pub mod relay;
 pub mod route;
 pub mod send;
@@ -229,6 +230,8 @@
     tenants: BTreeMap<String, usize>,
     settings: Settings,
     max_open: usize,
+    /// Queries and parts that another process of this aggregator holds.
+    held_elsewhere: usize,
     /// How many shards there are, if that is known.
     shards: Option<u32>,
     probe_timeout: Millis,
@@ -254,6 +257,7 @@
             tenants: BTreeMap::new(),
             settings: Settings::default(),
             max_open: 0,
+            held_elsewhere: 0,
             shards: None,
             probe_timeout: 0.0,
             ledger: Ledger::default(),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,12 +5,13 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use serde::{Deserialize, Serialize};
+
 use crate::api::*;
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
-/// Intervals without a sample before a rate drifts, by half each interval, toward the mean, and a class's
-/// spread toward none.
+/// Intervals without a sample before a rate drifts, by half each, to the mean, and a class's spread to none.
 const DRIFT_AFTER: f64 = 6.0;
 /// A replica never heard, with none heard, does one cost unit in this part of the aim.
 const FIRST_RATE_OF_AIM: f64 = 0.1;
@@ -19,8 +20,7 @@
 /// Silence for this share of the aim, and for so many usual latencies (all may be slow), looks like a hang.
 const SUSPECT_OF_AIM: f64 = 0.4;
 const SUSPECT_OF_USUAL: f64 = 3.0;
-/// Parts sent to a replica after one and answered before it, from which that one is lost and not slow: a
-/// queue is worked off about in order, by a few cores at once.
+/// Later parts that a replica answered first, from which one is lost and not slow: queues go about in order.
 const OVERTAKEN: u32 = 4;
 /// Parked and suspect replicas beyond this share mean a shared cause: parking would only pile up load.
 const SHARED_CAUSE: f64 = 0.25;
@@ -70,8 +70,7 @@
 const POISON: usize = 3;
 /// Aims after a mass death in which each query risks one replica first: the next such query may come late.
 const WARY_AIMS: f64 = 20.0;
-/// Usual latencies without a part completed after which a replica that reset parts is dead: one that has only
-/// lost a connection completes others by then.
+/// Usual latencies without a part completed after which a replica that reset parts is dead, not just cut off.
 const DEAD_AFTER_USUAL: f64 = 1.5;
 /// Share of its last parts that a replica has lost from which unsafe parts go elsewhere if they can.
 const LOSSY: f64 = 0.05;
@@ -85,6 +84,10 @@
 /// A replica's name, hashed: unlike text it is compared in one go.
 type ServerNo = u64;
 
+/// A share of what happened lately, and when it was last told: old cases are slowly forgiven.
+#[derive(Default, Clone, Copy, Serialize, Deserialize)]
+struct Faded(f64, Millis);
+
 /// A part sent and not yet ended, or ended after its query.
 struct Flight {
     server: ServerNo,
@@ -124,18 +127,17 @@
     accepted: Millis,
     deadline: Millis,
     parts: Vec<Part>,
-    second: bool,
-    first_whole: bool,
+    /// At the second step, whether the first one's answer was whole.
+    second: Option<bool>,
     worth: f64,
     share: f64,
-    /// Replicas at which parts were lost to resets, and whether on connections surely open. A connection that
-    /// breaks takes several parts along: that is one loss.
+    /// Replicas at which parts were lost to resets, once each, and whether on connections surely open.
     resets: Vec<(ServerNo, bool)>,
     /// When enough was in for an answer: waiting for the rest until the aim is no sign of pressure.
     enough_at: Option<Millis>,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Server {
     number: ServerNo,
     line: Replica,
@@ -148,9 +150,9 @@
     load: LoadReport,
     loaded: Millis,
     answered: Millis,
-    trust: Vec<(f64, Millis)>,
-    /// Share of its last parts that it lost, of all classes, and when one last ended.
-    lost: (f64, Millis),
+    /// Share of its last parts that failed, by class, and that it lost, of all classes.
+    failed: Vec<Faded>,
+    lost: Faded,
     parked: Option<Millis>,
     probe_at: Millis,
     /// Room for work while it is cold, and when that was reckoned.
@@ -191,7 +193,7 @@
     actions: Vec<Action>,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Measures {
     hint: Option<f64>,
     /// Usual latency of a part, and the work of this router that was out when such parts were sent.
@@ -205,8 +207,8 @@
     density: Option<f64>,
     /// By tenant: what is left of its own share, and when that was reckoned.
     quota: Vec<(f64, Millis)>,
-    /// Share of sends on idle connections that were lost, when that was reckoned, and the idleness to allow.
-    drops: (f64, Millis),
+    /// Share of sends on idle connections that were lost, and the idleness to allow.
+    drops: Faded,
     idle_limit: Millis,
     further: f64,
     /// What was taken (queries and parts) and sent again (true) within the stated budget's window.
@@ -257,7 +259,7 @@
         self.min_aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         self.m.spread.resize(classes, (0.0, 0.0));
         self.m.quota = settings.tenants.iter().map(|t| (t.quota_per_s, now)).collect();
-        self.servers.values_mut().for_each(|server| server.trust.resize(classes, (1.0, now)));
+        self.servers.values_mut().for_each(|server| server.failed.resize(classes, Faded(0.0, now)));
         self.s = settings;
         Ok(())
     }
@@ -285,6 +287,19 @@
         self.servers.values().filter(|s| s.parked.is_some()).map(|s| &s.line.id)
     }
 
+    /// What was learned, as text for the router of the process that takes over.
+    pub fn learned(&self) -> String {
+        serde_json::to_string(&(&self.m, self.servers.values().collect::<Vec<_>>())).unwrap_or_default()
+    }
+
+    /// Takes over what another router learned, before any list; `false` and no change if it can't be read.
+    pub fn recall(&mut self, learned: &str) -> bool {
+        let Ok((m, servers)) = serde_json::from_str::<(Measures, Vec<Server>)>(learned) else { return false };
+        let idle = |s| Server { flights: 0, out: 0.0, sent: (0, 0.0), used: None, idle: None, ..s };
+        (self.m, self.servers) = (m, servers.into_iter().map(|s| (s.number, idle(s))).collect());
+        self.retune(self.s.clone()).is_ok()
+    }
+
     // ---- events
 
     fn take(&mut self, event: Event) {
@@ -326,10 +341,10 @@
                 // A new start time is a new process: nothing learned of the old one holds.
                 Some(server) if server.line.started == line.started => server.line = line,
                 _ => {
-                    let trust = vec![(1.0, self.now); self.s.classes.len()];
+                    let failed = vec![Faded(0.0, self.now); self.s.classes.len()];
                     let (heard, answered) = (self.now, self.now);
                     let cold = (self.chance(), self.now);
-                    let server = Server { number, cold, line, heard, answered, trust, ..Server::default() };
+                    let server = Server { number, cold, line, heard, answered, failed, ..Server::default() };
                     self.servers.insert(number, server);
                 }
             }
@@ -432,13 +447,13 @@
         (server.load, server.loaded) = load.map_or((server.load, server.loaded), |load| (load, now));
         let lost = !dropped && matches!(outcome, Outcome::Errored | Outcome::Reset | Outcome::TimedOut);
         if lost || outcome == Outcome::Completed {
-            server.note_loss(f64::from(u8::from(lost)), now, aim);
+            server.lost.note(f64::from(u8::from(lost)), SMOOTH, now, aim);
         }
         match outcome {
             Outcome::Completed => {
                 server.dr = server.dr.filter(|_| self.back == now).or(Some(dr));
                 (server.heard, server.answered, server.parked, server.idle) = (now, now, None, None);
-                server.judge(flight.class, 1.0, now, aim);
+                server.failed[flight.class].note(0.0, TRUST_STEP, now, aim);
                 if self.back < now {
                     self.measure(flight, latency);
                 }
@@ -449,8 +464,8 @@
             Outcome::Errored | Outcome::Reset | Outcome::Rejected => {
                 server.answered = now;
                 // A connection that breaks ends many parts in one step, by one cause: it counts once.
-                if server.trust[flight.class].1 < now {
-                    server.judge(flight.class, 0.0, now, aim);
+                if server.failed[flight.class].1 < now {
+                    server.failed[flight.class].note(1.0, TRUST_STEP, now, aim);
                 }
             }
             // A replica that answered others meanwhile is slow, not gone: its rate says so.
@@ -467,18 +482,17 @@
     }
 
     fn drops(&self) -> f64 {
-        self.m.drops.0 * 0.5f64.powf((self.now - self.m.drops.1) / (self.min_aim * FORGIVE_AIMS))
+        self.m.drops.at(self.now, self.min_aim)
     }
 
     /// Learns whether connections idle for so long are dropped unseen, by something on the way.
     fn note_idle(&mut self, idle: Millis, lost: bool) {
-        let known = self.drops();
         if lost {
-            let limit = if known < DROPS { idle } else { self.m.idle_limit };
+            let limit = if self.drops() < DROPS { idle } else { self.m.idle_limit };
             self.m.idle_limit = limit.min(idle * IDLE_MARGIN);
             self.m.further += 1.0;
         }
-        self.m.drops = (known + SMOOTH * (f64::from(u8::from(lost)) - known), self.now);
+        self.m.drops.note(f64::from(u8::from(lost)), SMOOTH, self.now, self.min_aim);
     }
 
     fn take_probe(&mut self, replica: &ReplicaId, ok: bool, load: Option<LoadReport>) {
@@ -708,21 +722,22 @@
             return None;
         }
         if parked {
-            let rated = |s: &&&Server| self.rate(s, class) * s.trusted(class, self.now, self.min_aim);
+            let rated =
+                |s: &&&Server| self.rate(s, class) * (1.0 - s.failed[class].at(self.now, self.min_aim));
             return pool.iter().max_by(|a, b| rated(a).total_cmp(&rated(b))).map(|s| s.number);
         }
         prefer(&mut pool, |s| s.parked.is_none());
         prefer(&mut pool, |s| !part.tried.contains(&s.number));
         // A record recovers with a few parts. What can't go again needs a longer memory.
         if self.s.classes[class].repeat == Repeat::Unsafe {
-            prefer(&mut pool, |s| s.loss(self.now, self.min_aim) < LOSSY);
+            prefer(&mut pool, |s| s.lost.at(self.now, self.min_aim) < LOSSY);
         }
         // DR weighed by what the replica completes. An unsafe part can't go again after an error: there
         // its replica's worst record counts, and before speed.
         let speed = |s: &Server| {
-            let trust = |class| s.trusted(class, self.now, self.min_aim);
+            let trust = |class: usize| 1.0 - s.failed[class].at(self.now, self.min_aim);
             let trust = match self.s.classes[class].repeat {
-                Repeat::Unsafe => (0..s.trust.len()).map(trust).fold(1.0, f64::min).powi(TRUST_POWERS.1),
+                Repeat::Unsafe => (0..s.failed.len()).map(trust).fold(1.0, f64::min).powi(TRUST_POWERS.1),
                 Repeat::Safe | Repeat::Keyed { .. } => trust(class).powi(TRUST_POWERS.0),
             };
             self.rate(s, class) * trust.max(1e-9)
@@ -805,7 +820,8 @@
             let moment = (query.accepted + class.aim).min(query.deadline) - step * 2.0;
             let late = self.now + step >= self.useful_until(query);
             let all = query.share > 0.0 && query.parts.iter().all(|p| p.done);
-            let whole = all || (!query.second && query.share >= class.whole_from && class.whole_from < 1.0);
+            let whole =
+                all || (query.second.is_none() && query.share >= class.whole_from && class.whole_from < 1.0);
             let dead = |p: &Part| !p.done && p.out.is_none() && !p.left_out && !self.may_send(p, query.class);
             let settled = query.parts.iter().all(|p| p.done || p.left_out || dead(p));
             // Poison: whatever begins a part of it dies, and nothing of it completes. It is not sent again.
@@ -827,9 +843,8 @@
         }
     }
 
-    /// A replica that goes on answering may still lose some of what it is sent. Such a part goes elsewhere if
-    /// it may, without waiting for a time-out, and counts in the replica's record: that keeps unsafe parts,
-    /// which can't go again, away from it. It is no load on a slow fleet, and costs nothing of that budget.
+    /// A replica that goes on answering may still lose parts. Such a part goes elsewhere at once if it may,
+    /// at no budget's cost, and counts in the replica's record, which keeps unsafe parts away from it.
     fn retry_lost(&mut self, number: u64) {
         let Some(query) = self.queries.get(&number) else { return };
         let (class, now, aim) = (query.class, self.now, self.min_aim);
@@ -840,8 +855,8 @@
             // It counts once, also where it stays out.
             flight.overtaken = 0;
             if let Some(server) = self.servers.get_mut(&server) {
-                server.judge(class, 0.0, now, aim);
-                server.note_loss(1.0, now, aim);
+                server.failed[class].note(1.0, TRUST_STEP, now, aim);
+                server.lost.note(1.0, SMOOTH, now, aim);
             }
             if self.s.classes[class].repeat != Repeat::Unsafe && attempts < self.s.max_attempts {
                 self.m.further += 1.0;
@@ -892,10 +907,10 @@
     fn answer(&mut self, number: u64, whole: bool) {
         let Some(query) = self.queries.get_mut(&number) else { return };
         let two_steps = self.s.classes[query.class].second_step > 0;
-        let whole = whole && (!query.second || query.first_whole);
+        let whole = whole && query.second.unwrap_or(true);
         self.actions.push(Action::Answer { query: query.id.clone(), whole });
-        if two_steps && !query.second {
-            (query.second, query.first_whole, query.share) = (true, whole, 0.0);
+        if two_steps && query.second.is_none() {
+            (query.second, query.share) = (Some(whole), 0.0);
             let parts = std::mem::take(&mut query.parts);
             self.drop_parts(number, parts);
         } else {
@@ -911,7 +926,7 @@
         let id = query.id.clone();
         let retry_after = (class.aim * WAIT_OF_AIM).min(self.s.max_retry_after);
         let safe = class.repeat == Repeat::Safe;
-        self.actions.push(if (ran && !safe) || query.second || (late && ran) {
+        self.actions.push(if (ran && !safe) || query.second.is_some() || (late && ran) {
             // Only what is safe to repeat is asked back.
             Action::Fail { query: id, retry_after: if safe { retry_after } else { 0.0 } }
         } else {
@@ -990,24 +1005,15 @@
             self.out
         }
     }
+}
 
-    /// The share of a class's parts that it completes, with old failures slowly forgiven.
-    fn trusted(&self, class: usize, now: Millis, aim: Millis) -> f64 {
-        let (trust, at) = self.trust[class];
-        1.0 - (1.0 - trust) * 0.5f64.powf((now - at) / (aim * FORGIVE_AIMS))
-    }
-
-    fn loss(&self, now: Millis, aim: Millis) -> f64 {
-        self.lost.0 * 0.5f64.powf((now - self.lost.1) / (aim * FORGIVE_AIMS))
-    }
-
-    fn note_loss(&mut self, lost: f64, now: Millis, aim: Millis) {
-        let known = self.loss(now, aim);
-        self.lost = (known + SMOOTH * (lost - known), now);
+impl Faded {
+    fn at(self, now: Millis, aim: Millis) -> f64 {
+        self.0 * 0.5f64.powf((now - self.1) / (aim * FORGIVE_AIMS))
     }
 
-    fn judge(&mut self, class: usize, success: f64, now: Millis, aim: Millis) {
-        let trust = self.trusted(class, now, aim);
-        self.trust[class] = (trust + TRUST_STEP * (success - trust), now);
+    fn note(&mut self, told: f64, step: f64, now: Millis, aim: Millis) {
+        let known = self.at(now, aim);
+        *self = Faded(known + step * (told - known), now);
     }
 }
--- a/src/directory/watch.rs
+++ b/src/directory/watch.rs
@@ -141,6 +141,10 @@
             self.driver.executor().spawn(self.clone().run()).detach();
         }
     }
+
+    fn version(&self) -> Option<u64> {
+        self.index.get()
+    }
 }
 
 impl Reload for Rc<Watch> {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -8,7 +8,7 @@
 
 /// The answer to the layer in front of the aggregators, which asks whether to send clients here.
 fn health(door: &Door) -> Response {
-    if door.is_open() {
+    if door.takes_clients() {
         Response::text(200, "ready")
     } else {
         Response::text(503, "draining")
--- /dev/null
+++ b/src/handover/new.rs
@@ -0,0 +1,75 @@
+//! The new process: it takes over from a running one, if there is one.
+
+use std::io;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::time::Duration;
+
+use async_io::Async;
+use futures_lite::future;
+
+use super::link::{Lines, Link};
+use super::{hear, speak, Process, State, Wire, Word, VERSION};
+use crate::http::client::within;
+use crate::log;
+
+/// The time in which the running process hands over. Callers wait for the new one meanwhile.
+const HANDOVER: Duration = Duration::from_secs(2);
+
+/// What a running process has handed over.
+pub struct Taken {
+    /// What it knows.
+    pub state: State,
+    /// Its listening sockets.
+    pub sockets: Vec<OwnedFd>,
+    link: Link,
+    lines: Lines,
+}
+
+/// Asks the running process of an aggregator; `None` if none runs, as far as can be told from its socket.
+///
+/// # Errors
+/// If one runs and does not hand over. It serves on; this one has no place beside it.
+pub async fn take(path: &Path, name: &str) -> Result<Option<Taken>, String> {
+    let failed = |error: io::Error| format!("the running process does not hand over: {error}");
+    let stream = match within(HANDOVER, Async::<UnixStream>::connect(path)).await {
+        Ok(stream) => stream,
+        // No socket, or a stale one.
+        Err(error) if matches!(error.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => {
+            return Ok(None)
+        }
+        // A path too long for a socket: then no process listens there either.
+        Err(error) if error.kind() == io::ErrorKind::InvalidInput => return Ok(None),
+        Err(error) => return Err(failed(error)),
+    };
+    let link = Link::new(stream).map_err(failed)?;
+    let asked = async {
+        link.say(&Word::Hello { version: VERSION, name: name.to_string() }).await?;
+        let sockets = link.take().await?;
+        let mut lines = Lines::default();
+        Ok((sockets, lines.next(&link).await?, lines))
+    };
+    match within(HANDOVER, asked).await.map_err(failed)? {
+        (sockets, Word::State(state), lines) => Ok(Some(Taken { state: *state, sockets, link, lines })),
+        (_, Word::No(why), _) => Err(format!("the running process does not hand over: {why}")),
+        _ => Err("the running process does not hand over: it says what was not asked".into()),
+    }
+}
+
+/// Says that this process serves, and stays in step with the old one until that is gone.
+pub async fn follow(with: (Link, Lines), process: &dyn Process, wire: &Wire) {
+    let (link, mut lines) = with;
+    let words = wire.open();
+    wire.say(Word::Serving);
+    future::or(hear(&link, &mut lines, process, || {}), speak(&link, &words)).await;
+    process.leave_room(None);
+    log::line("handover: the old process is gone");
+}
+
+impl Taken {
+    /// Its parts: what was handed over, and the link to the old process.
+    pub fn split(self) -> (State, Vec<OwnedFd>, (Link, Lines)) {
+        (self.state, self.sockets, (self.link, self.lines))
+    }
+}
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -82,6 +82,8 @@
     executor: Rc<LocalExecutor<'static>>,
     handler: Box<dyn Handler>,
     limits: Limits,
+    /// Connections that are served at once, which may be fewer for a while than the limits say.
+    room: Cell<usize>,
     open: Cell<usize>,
     last: Cell<u64>,
     door: Rc<Door>,
@@ -105,6 +107,7 @@
             executor,
             handler,
             limits,
+            room: Cell::new(limits.connections),
             open: Cell::new(0),
             last: Cell::new(0),
             door,
@@ -141,13 +144,19 @@
         });
     }
 
+    /// Serves so many connections at once from now on.
+    pub fn set_room(&self, connections: usize) {
+        self.room.set(connections);
+        // Whoever waits for room looks again.
+        let _ = self.ended.0.try_send(());
+    }
+
     /// Accepts connections for good.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let most = self.limits.connections + self.limits.connections / 8;
         loop {
             // An accepted connection that is dropped unanswered would be a lost query. What is over the
             // limit waits in the listener's queue instead; refusals are brief, so room comes soon.
-            while self.open.get() >= most {
+            while self.open.get() >= self.room.get() + self.room.get() / 8 {
                 let _ = self.ended.1.recv().await;
             }
             match listener.accept().await {
@@ -174,7 +183,7 @@
     fn close_longest_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         let silent = idle.range(..ASKED).next().map(|(key, (since, _))| (*key, since.elapsed()));
-        let many = idle.range(..ASKED).count() > self.limits.connections / 2;
+        let many = idle.range(..ASKED).count() > self.room.get() / 2;
         let kept = idle.range(ASKED..).next().map(|(key, _)| *key);
         let longest = match silent {
             Some((key, stood)) if many || stood >= FIRST_BYTE || kept.is_none() => Some(key),
@@ -188,7 +197,7 @@
     /// room that others need for their requests.
     fn close_kept(&self) {
         let mut idle = self.idle.borrow_mut();
-        if idle.range(ASKED..).count() > self.limits.connections / KEPT_SHARE {
+        if idle.range(ASKED..).count() > self.room.get() / KEPT_SHARE {
             let longest = idle.range(ASKED..).next().map(|(key, _)| *key);
             if let Some((_, close)) = longest.and_then(|key| idle.remove(&key)) {
                 let _ = close.try_send(Reason::Full);
@@ -197,7 +206,7 @@
     }
 
     fn welcome(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
-        let refused = self.open.get() >= self.limits.connections && !self.close_longest_idle();
+        let refused = self.open.get() >= self.room.get() && !self.close_longest_idle();
         self.open.set(self.open.get() + 1);
         let server = self.clone();
         let task = async move {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod decide;
 pub mod directory;
 pub mod front;
+pub mod handover;
 pub mod http;
 pub mod log;
 pub mod operator;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -6,9 +6,11 @@
 use async_executor::LocalExecutor;
 use async_net::TcpListener;
 
+use crate::api::ReplicaId;
 use crate::core::drive::Driver;
 use crate::counters;
-use crate::http::door::{Door, State};
+use crate::handover::{Wire, Word};
+use crate::http::door::Door;
 use crate::http::parse::{Bad, Message};
 use crate::http::server::{Handler, Limits, Local, Server};
 use crate::http::target::Target;
@@ -24,12 +26,13 @@
 pub struct Operator {
     driver: Rc<Driver>,
     door: Rc<Door>,
+    wire: Rc<Wire>,
 }
 
 impl Operator {
-    /// Calls that act on a driver and the clients' door.
-    pub fn new(driver: Rc<Driver>, door: Rc<Door>) -> Self {
-        Operator { driver, door }
+    /// Calls that act on a driver and the clients' door, and of which another process hears.
+    pub fn new(driver: Rc<Driver>, door: Rc<Door>, wire: Rc<Wire>) -> Self {
+        Operator { driver, door, wire }
     }
 
     /// Serves calls on a listener.
@@ -50,8 +53,8 @@
             ("GET", ["stats"]) => Response::text(200, &self.stats()),
             ("PUT", ["run-stores", id, "maint"]) => self.by_hand(id, true),
             ("PUT", ["run-stores", id, "ready"]) => self.by_hand(id, false),
-            ("PUT", ["healthcheck", "fail"]) => self.turn(State::Shut, "draining"),
-            ("PUT", ["healthcheck", "ok"]) => self.turn(State::Open, "ready"),
+            ("PUT", ["healthcheck", "fail"]) => self.turn(true, "draining"),
+            ("PUT", ["healthcheck", "ok"]) => self.turn(false, "ready"),
             (_, ["healthcheck"] | ["stats"]) => wrong_method("GET"),
             (_, ["healthcheck", "fail" | "ok"] | ["run-stores", _, "maint" | "ready"]) => wrong_method("PUT"),
             _ => Response::text(404, "no such call"),
@@ -63,17 +66,19 @@
     }
 
     fn by_hand(&self, id: &str, out: bool) -> Response {
-        if !self.driver.by_hand(&id.into(), out) {
+        let (at, id) = (self.driver.now(), ReplicaId::from(id));
+        if !self.driver.by_hand(at, &id, out) {
             return Response::text(404, "no such run store was ever listed");
         }
+        self.wire.say(if out { Word::Out(id.clone()) } else { Word::Back(id.clone(), at) });
         let word = if out { "out" } else { "back" };
-        log::line(&format!("operator: {id} {word}"));
+        log::line(&format!("operator: {} {word}", id.0));
         yes(word)
     }
 
-    fn turn(&self, state: State, word: &str) -> Response {
-        if !self.door.by_hand(state) {
-            return Response::text(409, "the program is to end");
+    fn turn(&self, shut: bool, word: &str) -> Response {
+        if !self.door.by_hand(shut) {
+            return Response::text(409, "this process is to end");
         }
         log::line(&format!("operator: {word}"));
         yes(word)
--- /dev/null
+++ b/src/service/program.rs
@@ -0,0 +1,320 @@
+//! The running program: its parts put together, and how another process takes over from it.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use async_net::TcpListener;
+use futures_lite::future;
+
+use super::reload::Reloads;
+use crate::api::{Millis, ReplicaId};
+use crate::config::{Api, Config};
+use crate::core::drive::{Directory, Driver, RunStores};
+use crate::core::{Core, News};
+use crate::directory::dns_sd::DnsSd;
+use crate::directory::list::List;
+use crate::directory::watch::Watch;
+use crate::directory::Reload;
+use crate::front::opensearch::OpenSearch;
+use crate::front::platform::Platform;
+use crate::handover::{Held, Process, State};
+use crate::http::door::Door;
+use crate::http::server::{Handler, Limits, Server};
+use crate::log;
+use crate::settings::Info;
+use crate::store::peers::Peers;
+use crate::store::{self, Store};
+use crate::transport;
+use crate::transport::frames::Frames;
+use crate::transport::opensearch::Searches;
+
+/// How long a start waits for the peers of the store.
+const PEERS_WAIT: Duration = Duration::from_millis(2000);
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+const KEEP_DIRECTORY_EVERY: Duration = Duration::from_millis(500);
+/// Descriptors that are no client's and no run store's: standard streams, the reactor, listeners, discovery.
+const OTHER_DESCRIPTORS: usize = 24;
+
+/// The program.
+pub struct Program {
+    config: Config,
+    executor: Rc<LocalExecutor<'static>>,
+    pub(super) driver: Rc<Driver>,
+    pub(super) server: Rc<Server>,
+    pub(super) door: Rc<Door>,
+    pub(super) reloads: Reloads,
+    /// The clients' socket, until the end; and the store's.
+    listener: RefCell<Option<TcpListener>>,
+    store: Option<(Rc<Store>, TcpListener)>,
+    accepting: RefCell<Option<Task<()>>>,
+}
+
+/// What another process hands over: its state and its sockets.
+pub type Inherited = (State, Vec<OwnedFd>);
+
+impl Program {
+    /// The program of a configuration, at the start, or taking over. It does not accept yet.
+    ///
+    /// # Errors
+    /// Says which key is at fault.
+    pub async fn new(
+        path: &Path,
+        config: Config,
+        executor: Rc<LocalExecutor<'static>>,
+        inherited: Option<Inherited>,
+    ) -> Result<Rc<Self>, String> {
+        let (state, sockets) = inherited.unzip();
+        let mut sockets = sockets.unwrap_or_default().into_iter();
+        let listener = listen("listen", config.listen, sockets.next()).await?;
+        let store = start_store(&config, &executor, sockets.next(), state.as_ref()).await?;
+        let info = settle_settings(&config, store.as_ref().map(|(store, _)| &**store))?;
+        let mut core = Core::new(&info, config.seed()).map_err(|why| format!("key settings: {why}"))?;
+        if let Some(state) = &state {
+            let read =
+                core.inherit(&info, state.legacy.clone()).map_err(|why| format!("key settings: {why}"))?;
+            log::line(if read {
+                "handover: taken over"
+            } else {
+                "handover: taken over, without what was learned"
+            });
+        }
+        let driver = Driver::new(core, executor.clone());
+        let limits = transport::Limits::of(&info, config.store_connections(0));
+        let stores: Rc<dyn RunStores> = match config.api {
+            Api::Platform => Rc::new(Frames::new(driver.clone(), limits)),
+            Api::Opensearch => Rc::new(Searches::new(driver.clone(), limits)),
+        };
+        let (known, version) = known_list(&config, state.as_ref(), store.as_ref().map(|(store, _)| &**store));
+        let (listing, reload) = directory(&config, version, &driver)?;
+        driver.connect(stores, listing);
+        driver.take_news(News::Cached(known.listed()));
+        executor.spawn(driver.clone().run()).detach();
+        if let Some((store, _)) = &store {
+            executor.spawn(keep_directory(store.clone(), driver.clone())).detach();
+        }
+        let door = Rc::new(Door::default());
+        door.by_hand(state.as_ref().is_some_and(|state| state.shut));
+        let front: Box<dyn Handler> = match config.api {
+            Api::Platform => Box::new(Platform::new(driver.clone(), door.clone())),
+            Api::Opensearch => Box::new(OpenSearch::new(driver.clone(), door.clone())),
+        };
+        let limits = Limits::for_connections(config.client_connections(0));
+        let server = Server::new("client", executor.clone(), front, limits, door.clone());
+        executor.spawn(server.clone().drain()).detach();
+        let copy = store.as_ref().map(|(store, _)| store.clone());
+        let reloads = Reloads::new(path.into(), config.clone(), driver.clone(), reload, copy);
+        let program = Rc::new(Program {
+            config,
+            executor,
+            driver,
+            server,
+            door,
+            reloads,
+            listener: RefCell::new(Some(listener)),
+            store,
+            accepting: RefCell::default(),
+        });
+        program.leave_room(state.map(|state| state.held));
+        Ok(program)
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.borrow().as_ref()?.local_addr().ok()
+    }
+
+    /// Accepts clients from now on.
+    pub fn accept(&self) {
+        if let Some(listener) = self.listener.borrow().clone() {
+            let accepting = self.executor.spawn(self.server.clone().accept(listener));
+            *self.accepting.borrow_mut() = Some(accepting);
+        }
+    }
+
+    /// Accepts no more, and listens no more.
+    pub fn close(&self) {
+        drop(self.accepting.take());
+        drop(self.listener.take());
+    }
+
+    /// Whether nothing is left that a client waits for.
+    pub fn is_done(&self) -> bool {
+        self.driver.open_queries() == 0 && self.server.open() == 0
+    }
+}
+
+impl Process for Program {
+    fn name(&self) -> String {
+        self.config.name.clone()
+    }
+
+    fn sockets(&self) -> Option<Vec<OwnedFd>> {
+        let listener = self.listener.borrow();
+        let store = self.store.iter().map(|(_, listener)| listener);
+        let copy = |listener: &TcpListener| listener.as_fd().try_clone_to_owned().ok();
+        std::iter::once(listener.as_ref()?).chain(store).map(copy).collect()
+    }
+
+    fn state(&self) -> State {
+        let mut list = List::of(&self.driver.directory());
+        list.index = self.driver.version().unwrap_or(0);
+        State {
+            list,
+            discovery: self.reloads.discovery(),
+            legacy: self.driver.legacy(),
+            shut: self.door.is_shut_by_hand(),
+            entries: self.store.as_ref().map(|(store, _)| store.entries()).unwrap_or_default(),
+            held: self.held(),
+        }
+    }
+
+    fn held(&self) -> Held {
+        let descriptors = OTHER_DESCRIPTORS + self.server.open() + self.driver.connections();
+        Held { open: self.driver.held(), descriptors }
+    }
+
+    fn stand_down(&self) {
+        drop(self.accepting.take());
+        self.door.hand_over(true);
+    }
+
+    fn stand_up(&self) {
+        if !self.door.is_leaving() {
+            log::line("handover: the new process is gone, this one serves again");
+            self.door.hand_over(false);
+            self.accept();
+        }
+    }
+
+    fn told_by_hand(&self, at: Millis, id: &ReplicaId, out: bool) {
+        self.driver.told_by_hand(at, id, out);
+    }
+
+    fn leave_room(&self, held: Option<Held>) {
+        let Held { open, descriptors } = held.unwrap_or_default();
+        self.server.set_room(self.config.client_connections(descriptors));
+        self.driver.leave_room(open, self.config.store_connections(descriptors));
+    }
+}
+
+/// A listener at an address: the one that was handed over, or a new one.
+async fn listen(key: &str, address: SocketAddr, passed: Option<OwnedFd>) -> Result<TcpListener, String> {
+    let failed = |error: std::io::Error| format!("key {key}: {address}: {error}");
+    let Some(passed) = passed else {
+        return TcpListener::bind(address).await.map_err(failed);
+    };
+    let listener = TcpListener::try_from(std::net::TcpListener::from(passed)).map_err(failed)?;
+    let at = listener.local_addr().map_err(failed)?;
+    // Two processes at two addresses would be two aggregators.
+    if at.ip() != address.ip() || (address.port() != 0 && at.port() != address.port()) {
+        return Err(format!("key {key}: the running process listens on {at}; a move needs a restart"));
+    }
+    Ok(listener)
+}
+
+/// A listener for operators, if there is to be one.
+pub async fn operators(config: &Config) -> Result<Option<TcpListener>, String> {
+    match config.operator {
+        Some(address) => listen("operator", address, None).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// The list of run stores to begin with, and its version at the discovery service that will be asked.
+fn known_list(config: &Config, state: Option<&State>, store: Option<&Store>) -> (List, Option<u64>) {
+    if let Some(State { list, discovery, .. }) = state {
+        // Versions are each service's own.
+        let version = Some(list.index).filter(|index| *index > 0 && *discovery == config.discovery);
+        return (list.clone(), version);
+    }
+    let known = &config.known;
+    if !known.endpoints.is_empty() {
+        return (known.clone(), Some(known.index));
+    }
+    // Nothing is known here: what a peer last knew is a better start than nothing.
+    let last = store.and_then(|store| serde_json::from_str(&store.get(store::DIRECTORY)?.value).ok());
+    (last.unwrap_or_default(), None)
+}
+
+/// A directory for the core, and the same for reloads.
+type Listing = (Rc<dyn Directory>, Box<dyn Reload>);
+
+/// The directory that the configuration names, and what moves it at a reload.
+fn directory(config: &Config, version: Option<u64>, driver: &Rc<Driver>) -> Result<Listing, String> {
+    if let Some(place) = &config.dns_sd {
+        let dns = DnsSd::new(driver.clone(), place.clone());
+        return Ok((Rc::new(dns.clone()), Box::new(dns)));
+    }
+    let address = config.discovery.ok_or("key discovery: is missing, and so is dns_sd")?;
+    let watch = Watch::new(driver.clone(), address, version);
+    Ok((Rc::new(watch.clone()), Box::new(watch)))
+}
+
+/// Starts the replicated store, if it is configured. Its entries come from the process that hands over, or from
+/// peers, for which the start waits a moment.
+async fn start_store(
+    config: &Config,
+    executor: &Rc<LocalExecutor<'static>>,
+    passed: Option<OwnedFd>,
+    state: Option<&State>,
+) -> Result<Option<(Rc<Store>, TcpListener)>, String> {
+    let Some(place) = &config.store else { return Ok(None) };
+    let listener = listen("store.listen", place.listen, passed).await?;
+    let store = Rc::new(Store::new(&config.name));
+    if let Ok(at) = listener.local_addr() {
+        log::line(&format!("store meets peers on {at}"));
+    }
+    let peers = Peers::start(store.clone(), executor.clone(), listener.clone(), &place.peers);
+    if let Some(state) = state {
+        for entry in &state.entries {
+            store.merge(entry.clone());
+        }
+        return Ok(Some((store, listener)));
+    }
+    let settled = async {
+        while peers.settled() < place.peers.len() {
+            Timer::after(LOOK_EVERY).await;
+        }
+    };
+    future::or(settled, async {
+        Timer::after(PEERS_WAIT).await;
+    })
+    .await;
+    Ok(Some((store, listener)))
+}
+
+/// The settings of the highest version: this file's or the store's, which gets this file's.
+pub fn settle_settings(config: &Config, store: Option<&Store>) -> Result<Info, String> {
+    let own = config.settings.as_ref().map(|settings| settings.get());
+    if let (Some(store), Some(place)) = (store, &config.store) {
+        if let Some(own) = own {
+            store.put(store::SETTINGS, place.settings_version, own.to_string());
+        }
+        if let Some(entry) = store.get(store::SETTINGS) {
+            log::line(&format!("settings of version {} from {}", entry.version, entry.origin));
+            return config.settings(&entry.value);
+        }
+    }
+    config.settings(own.ok_or("key settings: is missing, and no peer holds any")?)
+}
+
+/// Writes the directory to the store whenever it has changed.
+async fn keep_directory(store: Rc<Store>, driver: Rc<Driver>) {
+    let mut kept = List::default();
+    loop {
+        let list = List::of(&driver.directory());
+        if list != kept && !list.endpoints.is_empty() {
+            if let Ok(text) = serde_json::to_string(&list) {
+                store.put(store::DIRECTORY, driver.now() as u64, text);
+            }
+            kept = list;
+        }
+        Timer::after(KEEP_DIRECTORY_EVERY).await;
+    }
+}
--- a/src/service/reload.rs
+++ b/src/service/reload.rs
@@ -1,10 +1,11 @@
 //! SIGHUP: the configuration is read again, and taken whole or not at all.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 
-use super::settle_settings;
+use super::program::settle_settings;
 use crate::config::Config;
 use crate::core::drive::Driver;
 use crate::directory::Reload;
@@ -35,6 +36,11 @@
         Reloads { path, last: RefCell::new(started.clone()), started, driver, directory, store }
     }
 
+    /// Where discovery is asked by now.
+    pub fn discovery(&self) -> Option<SocketAddr> {
+        self.last.borrow().discovery
+    }
+
     /// Reads the configuration again. One that is at fault changes nothing.
     pub fn reload(&self) {
         let taken = self.take_up();
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -81,6 +81,11 @@
         self.entries.borrow().get(key).cloned()
     }
 
+    /// All entries.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.entries.borrow().values().cloned().collect()
+    }
+
     fn listen(&self) -> Receiver<()> {
         let (sender, receiver) = async_channel::bounded(1);
         self.listeners.borrow_mut().push(sender);
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -317,6 +317,14 @@
         self.places.borrow().len()
     }
 
+    fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    fn room(&self, connections: usize) {
+        self.limits.set(Limits { connections, ..self.limits.get() });
+    }
+
     fn retune(&self, info: &Info) {
         self.limits.set(Limits::of(info, self.limits.get().connections));
     }
--- /dev/null
+++ b/tests/legacy.rs
@@ -0,0 +1,105 @@
+//! What a core leaves to the core of a process that takes over.
+
+use ironpaddle::api::{Outcome, Replica, ReplicaState};
+use ironpaddle::core::legacy::Legacy;
+use ironpaddle::core::{Ask, AskPart, CallEnd, Core, Listed, News, Order};
+use ironpaddle::settings::Info;
+use serde_json::json;
+
+fn info(classes: &[&str]) -> Info {
+    let class =
+        |name: &&str| json!({"name": name, "aim_ms": 300.0, "deadline_ms": 900.0, "repeat": "read_like"});
+    let classes: Vec<_> = classes.iter().map(class).collect();
+    serde_json::from_value(json!({
+        "caps": {"max_attempts": 3, "max_open": 500, "may_cancel": true, "probes": true},
+        "domain": {"cells": 1, "width": 1, "shards": 9},
+        "request_classes": classes,
+        "tick_ms": 5.0,
+    }))
+    .unwrap()
+}
+
+fn list() -> News {
+    let line = |name: &str| Listed {
+        replica: Replica {
+            id: name.into(),
+            state: ReplicaState::Active,
+            weight: 1.0,
+            started: Some(5.0),
+            ..Replica::default()
+        },
+        address: Some(([127, 0, 0, 1], 9).into()),
+    };
+    News::Cached(["a", "b", "c"].map(line).into())
+}
+
+/// Asks for some queries of a class; says where their parts went. At `a` nothing gets through.
+fn load(core: &mut Core, now: &mut f64, class: &str, queries: usize) -> Vec<String> {
+    let mut went = Vec::new();
+    for number in 0..queries {
+        let part = AskPart { shard: 0, weight: 1.0, hint: None, key: None };
+        let ask = Ask {
+            id: format!("r{number}"),
+            class: class.into(),
+            tenant: None,
+            timeout: Some(900.0),
+            retried: false,
+            partial: true,
+            parts: vec![part],
+            text: b"text"[..].into(),
+        };
+        core.take_in(*now, ask).unwrap();
+        *now += 5.0;
+        core.step(*now);
+        let orders: Vec<_> = std::iter::from_fn(|| core.next_order()).collect();
+        for order in orders {
+            let Order::Send(call) = order else { continue };
+            let lost = call.replica == "a".into();
+            let outcome = if lost { Outcome::ConnectFailed } else { Outcome::Completed };
+            core.call_ended(*now, call.no, CallEnd { outcome, value: Some(b"v"[..].into()), load: None });
+            went.push(call.replica.0.to_string());
+        }
+    }
+    went
+}
+
+#[test]
+fn who_is_parked_or_out_by_hand_stays_so_in_the_process_that_takes_over() {
+    let mut now = 1e6;
+    let mut old = Core::new(&info(&["search", "lookup"]), 7).unwrap();
+    old.take_news(list());
+    assert!(load(&mut old, &mut now, "search", 30).contains(&"a".to_string()));
+    assert!(old.by_hand(now, &"b".into(), true));
+    assert_eq!(old.gauges().pool_ejected, 2);
+    let legacy = serde_json::to_string(&old.legacy()).unwrap();
+    // The new one has the classes in another order, one more, and one less.
+    for classes in [&["lookup", "entry", "search"][..], &["search"]] {
+        let new_info = info(classes);
+        let mut new = Core::new(&new_info, 8).unwrap();
+        let legacy: Legacy = serde_json::from_str(&legacy).unwrap();
+        assert_eq!(new.inherit(&new_info, legacy), Ok(true));
+        new.take_news(list());
+        new.step(now);
+        assert_eq!((new.gauges().pool_size, new.gauges().pool_ejected), (3, 2));
+        for class in classes {
+            let went = load(&mut new, &mut now, class, 5);
+            assert_eq!(went, ["c"; 5], "{class}");
+        }
+    }
+}
+
+#[test]
+fn what_cannot_be_read_of_it_leaves_a_core_that_serves() {
+    let mut now = 1e6;
+    let mut old = Core::new(&info(&["search"]), 7).unwrap();
+    old.take_news(list());
+    old.step(now);
+    assert!(old.by_hand(now, &"b".into(), true));
+    let mut legacy = serde_json::to_value(old.legacy()).unwrap();
+    legacy["learned"] = json!("[");
+    let mut new = Core::new(&info(&["search"]), 8).unwrap();
+    assert_eq!(new.inherit(&info(&["search"]), serde_json::from_value(legacy).unwrap()), Ok(false));
+    new.take_news(list());
+    let went = load(&mut new, &mut now, "search", 9);
+    assert!(went.contains(&"c".to_string()) && !went.contains(&"b".to_string()), "{went:?}");
+}
--- a/tests/sockets/aggregator.rs
+++ b/tests/sockets/aggregator.rs
@@ -27,7 +27,36 @@
     started: Vec<String>,
     child: Child,
     log: mpsc::Receiver<String>,
-    config: PathBuf,
+    folder: Arc<Folder>,
+}
+
+/// A folder of its own for each aggregator: processes of one find each other there.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Arc<Self> {
+        static MADE: AtomicUsize = AtomicUsize::new(0);
+        let number = MADE.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("ironpaddle-{}-{number}", std::process::id()));
+        std::fs::create_dir(&path).unwrap();
+        Arc::new(Folder(path))
+    }
+
+    fn config(&self) -> PathBuf {
+        self.0.join("config.json")
+    }
+
+    fn command(&self) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ironpaddle"));
+        command.arg(self.config()).env("TMPDIR", &self.0);
+        command
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
 }
 
 /// A final answer.
@@ -106,12 +135,35 @@
     }
 
     fn spawn(wire: Wire, board: Arc<Board>, stores: Vec<SocketAddr>, config: &Value) -> Self {
-        static STARTED: AtomicUsize = AtomicUsize::new(0);
-        let number = STARTED.fetch_add(1, Ordering::Relaxed);
-        let path = std::env::temp_dir().join(format!("ironpaddle-{}-{number}.json", std::process::id()));
-        std::fs::write(&path, config.to_string()).unwrap();
-        let mut child =
-            Command::new(env!("CARGO_BIN_EXE_ironpaddle")).arg(&path).stderr(Stdio::piped()).spawn().unwrap();
+        let folder = Folder::new();
+        std::fs::write(folder.config(), config.to_string()).unwrap();
+        Aggregator::run(wire, board, stores, folder)
+    }
+
+    /// Starts a further process of this aggregator, which takes over from the running one.
+    pub fn succeed(&self) -> Self {
+        Aggregator::run(self.wire, self.board.clone(), self.stores.clone(), self.folder.clone())
+    }
+
+    /// Starts a further process that is to fail; says what it wrote.
+    pub fn fail_to_succeed(&self) -> String {
+        let output = self.folder.command().output().unwrap();
+        assert!(!output.status.success(), "it fails");
+        String::from_utf8(output.stderr).unwrap()
+    }
+
+    /// Where its configuration stands.
+    pub fn config(&self) -> PathBuf {
+        self.folder.config()
+    }
+
+    /// The socket at which processes of this aggregator find each other.
+    pub fn meeting(&self) -> PathBuf {
+        self.folder.0.join("ironpaddle-n0.sock")
+    }
+
+    fn run(wire: Wire, board: Arc<Board>, stores: Vec<SocketAddr>, folder: Arc<Folder>) -> Self {
+        let mut child = folder.command().stderr(Stdio::piped()).spawn().unwrap();
         let (sender, log) = mpsc::channel();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         thread::spawn(move || {
@@ -122,7 +174,8 @@
         });
         let mut started: Vec<String> = Vec::new();
         while !started.last().is_some_and(|line| line.contains(" listens on ")) {
-            started.push(log.recv_timeout(Duration::from_secs(30)).expect("it starts"));
+            let line = log.recv_timeout(Duration::from_secs(30));
+            started.push(line.unwrap_or_else(|error| panic!("{error} after {started:?}")));
         }
         let at = |words: &str| {
             let line = started.iter().find(|line| line.contains(words))?;
@@ -131,7 +184,7 @@
         let address = at(" listens on ").unwrap().parse().unwrap();
         let store = at("store meets peers on");
         let operator = at("operators call").map(|at| at.parse().unwrap());
-        Aggregator { wire, board, address, stores, operator, store, started, child, log, config: path }
+        Aggregator { wire, board, address, stores, operator, store, started, child, log, folder }
     }
 
     /// Whether the log has held some words by the time it had started.
@@ -221,13 +274,13 @@
 
     /// Replaces the configuration file and has it read again.
     pub fn reload(&self, text: &str) {
-        std::fs::write(&self.config, text).unwrap();
+        std::fs::write(self.folder.config(), text).unwrap();
         self.signal("HUP");
     }
 
     /// The configuration it was started with, changed.
     pub fn configuration(&self, change: impl FnOnce(&mut Value)) -> String {
-        let mut config = serde_json::from_slice(&std::fs::read(&self.config).unwrap()).unwrap();
+        let mut config = serde_json::from_slice(&std::fs::read(self.folder.config()).unwrap()).unwrap();
         change(&mut config);
         config.to_string()
     }
@@ -241,7 +294,6 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
     }
 }
 
