Wait for a late answer in pieces before calling it noise

Ruled out: noise being taken for such an answer; nothing new is put on the link until the rest has come or its time is over.

Test: a late answer byte by byte ends nothing, and a byte after it does; it fails without the change.

--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -67,8 +67,8 @@
     /// Probes that are written, oldest first; `None` for one that is given up.
     probes: VecDeque<(Option<CallNo>, Instant)>,
     writing: Vec<Item>,
-    /// Parts that were answered or given up here, oldest first.
-    past: VecDeque<String>,
+    /// Parts that were answered or given up here, oldest first, and whether an answer has come.
+    past: VecDeque<(String, bool)>,
     buffer: Vec<u8>,
     /// Since when the buffer holds the beginning of a frame.
     inside: Option<Instant>,
@@ -111,14 +111,16 @@
         self.suspect
     }
 
-    /// Whether nothing new should go on it, as something has long been out and nothing comes.
+    /// Whether nothing new should go on it, as something has long been out and nothing comes, or as what has begun
+    /// to come may be noise that would swallow an answer.
     pub fn is_silent(&self, now: Instant) -> bool {
         let written = self.calls.values().filter_map(|held| match held.stage {
             Stage::Written(at) => Some(at),
             _ => None,
         });
         let since = written.min().map(|at| at.max(self.heard));
-        self.suspect || since.is_some_and(|since| now - since >= self.usual * SILENT_OF_USUAL)
+        let unasked = self.inside.is_some() && !self.is_awaited();
+        self.suspect || unasked || since.is_some_and(|since| now - since >= self.usual * SILENT_OF_USUAL)
     }
 
     /// When something was last heard on it.
@@ -160,11 +162,16 @@
         nos.iter().filter_map(|no| self.calls.remove(no)).map(|held| held.call).collect()
     }
 
-    fn pass(&mut self, part: String) {
+    fn pass(&mut self, part: String, answered: bool) {
         if self.past.len() == MOST_PAST {
             self.past.pop_front();
         }
-        self.past.push_back(part);
+        self.past.push_back((part, answered));
+    }
+
+    /// Whether an answer is waited for: of a call, or of a probe.
+    fn is_awaited(&self) -> bool {
+        !self.probes.is_empty() || self.calls.values().any(|held| matches!(held.stage, Stage::Written(_)))
     }
 
     /// Queues a probe.
@@ -223,7 +230,7 @@
                         let part = held.call.part.clone();
                         self.queue.push_back(Item::GiveUp(part.clone()));
                         self.calls.remove(&no);
-                        self.pass(part);
+                        self.pass(part, false);
                     }
                 }
             }
@@ -251,7 +258,8 @@
                     let Some(no) = self.calls.values().find(written).map(|held| held.call.no) else {
                         // An answer to what was given up, or a second one, concerns nobody. An answer to what
                         // was never asked here stands for one that was: that one never comes.
-                        if self.past.contains(&part) {
+                        if let Some(past) = self.past.iter_mut().find(|past| past.0 == part) {
+                            past.1 = true;
                             continue;
                         }
                         return Err(format!("an end of the part {part:?}, which is not out here"));
@@ -259,7 +267,7 @@
                     if let Some(Held { stage: Stage::Written(at), .. }) = self.calls.remove(&no) {
                         self.usual = (self.usual * (USUAL_OF - 1) + (self.heard - at)) / USUAL_OF;
                     }
-                    self.pass(part);
+                    self.pass(part, true);
                     let (outcome, value) = match end {
                         End::Served => (Outcome::Completed, Some(value)),
                         End::Error => (Outcome::Errored, None),
@@ -275,9 +283,10 @@
                 Frame::Unusable(why) => return Err(format!("the run store could not use a frame: {why}")),
             }
         }
-        // With nothing out, these bytes belong to nothing, and the next answer would be read as their rest.
-        let out = self.calls.values().any(|held| matches!(held.stage, Stage::Written(_)));
-        if !self.buffer.is_empty() && !out && self.probes.is_empty() {
+        // With nothing out, these bytes belong to nothing, and the next answer would be read as their rest. But the
+        // answer to what was given up may come yet, and in pieces.
+        let late = self.past.iter().any(|(_, answered)| !answered);
+        if !self.buffer.is_empty() && !late && !self.is_awaited() {
             return Err("bytes that nobody waits for".into());
         }
         Ok(())
@@ -297,7 +306,7 @@
                 let part = held.call.part.clone();
                 self.queue.push_back(Item::GiveUp(part.clone()));
                 self.calls.remove(&no);
-                self.pass(part);
+                self.pass(part, false);
             }
         }
         true
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -323,3 +323,22 @@
     assert_eq!(link.read(&answer("q1.0", 'S'), after(610)).0.len(), 1);
     assert!(!link.is_silent(after(60_000)), "nothing is out");
 }
+
+#[test]
+fn the_late_answer_to_a_part_that_was_given_up_may_come_in_pieces() {
+    let now = Instant::now();
+    let mut link = out(1, now);
+    assert!(link.give_up(CallNo(0), now));
+    // The run store is told, and nothing is out.
+    link.next_frame(|_| 5).unwrap();
+    link.written(now);
+    let late = answer("q0.0", 'S');
+    for byte in &late[..late.len() - 1] {
+        assert!(link.read(&[*byte], now).1.is_ok(), "no noise, but an answer that concerns nobody");
+        assert!(link.is_silent(now), "what it is cannot be told yet: no call is put behind it");
+    }
+    let (ended, came) = link.read(&late[late.len() - 1..], now);
+    assert!(ended.is_empty() && came.is_ok() && !link.is_silent(now));
+    // It has come now: a byte more is noise.
+    assert!(link.read(b"x", now).1.is_err());
+}
