Notice silent connections sooner, and probe parked run stores by the shortest aim

Each park lasts a second, where aims are 375 to 500 ms: two of eleven run stores are missing at any time. At fault: link.rs waits for five usual answers (SILENT_OF_USUAL), which with a connection's start is as long as the router's patience of 200 ms; decide.rs probes once in 1,000 ms (PROBE_EVERY), a figure that fits aims of 1.5 s alone. Now three usual answers, and a probe each two thirds of the shortest aim: at 1.5 s that is the second it was. Ruled out: probing at once when a run store is parked.

Tests: the time of silence in tests/link.rs; with an aim of 300 ms a parked replica is probed 200 ms later. Both fail without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,8 +15,8 @@
 const DRIFT_AFTER: f64 = 6.0;
 /// A replica never heard, with none heard, does one cost unit in this part of the aim.
 const FIRST_RATE_OF_AIM: f64 = 0.1;
-/// Time between probes of a parked replica.
-const PROBE_EVERY: Millis = 1000.0;
+/// Time between probes of a parked replica, of the shortest aim: it is missed for no longer than matters.
+const PROBE_OF_AIM: f64 = 2.0 / 3.0;
 /// Silence for this share of the aim, and for so many usual latencies (all may be slow), looks like a hang.
 const SUSPECT_OF_AIM: f64 = 0.4;
 const SUSPECT_OF_USUAL: f64 = 3.0;
@@ -496,11 +496,10 @@
     }
 
     fn take_probe(&mut self, replica: &ReplicaId, ok: bool, load: Option<LoadReport>) {
-        let now = self.now;
         let Some(server) = self.servers.get_mut(&hash(&replica.0)) else { return };
-        (server.load, server.loaded) = load.map_or((server.load, server.loaded), |load| (load, now));
+        (server.load, server.loaded) = load.map_or((server.load, server.loaded), |load| (load, self.now));
         if ok && server.parked.take().is_some() {
-            server.answered = now;
+            server.answered = self.now;
             self.actions.push(Action::Log(format!("{} restored by probe", replica.0)));
         }
     }
@@ -513,7 +512,7 @@
         let Some(server) = self.servers.get_mut(&number) else { return false };
         if server.parked.is_none() && server.line.state == ReplicaState::Active && !shared {
             server.parked = Some(self.now);
-            server.probe_at = self.now + PROBE_EVERY;
+            server.probe_at = self.now + self.min_aim * PROBE_OF_AIM;
             self.actions.push(Action::Log(format!("{} parked", server.line.id.0)));
         }
         server.parked.is_some()
@@ -536,8 +535,7 @@
     }
 
     /// Room at a cold replica, and the most there can be; `None` if it is warm. An own share of what it bears
-    /// comes in evenly. With many routers that is under a part: it adds up to one, from a start drawn by
-    /// chance, so that few routers send at once and yet it gets work from the first moment.
+    /// comes in evenly, from a start drawn by chance: few of many routers send at once, and none waits long.
     fn cold_room(&self, server: &Server, class: usize) -> Option<(f64, f64)> {
         let (cold, started) = (self.s.cold?, server.line.started?);
         let age = (self.now - started) / cold.warm_within.max(1.0);
@@ -557,7 +555,7 @@
         (self.s.classes[class].aim * SUSPECT_OF_AIM).max(self.m.usual.unwrap_or(0.0) * SUSPECT_OF_USUAL)
     }
 
-    /// Refuses what would only finish late: by worth for work, so that the dear survive overload.
+    /// Refuses what would only finish late, by worth for work: the dear survive overload.
     fn admit(&mut self) {
         for number in std::mem::take(&mut self.fresh) {
             let Some(query) = self.queries.get(&number) else { continue };
@@ -605,8 +603,7 @@
 
     fn note_pace(&mut self, number: u64, served: bool) {
         let Some(query) = self.queries.get(&number) else { return };
-        // One cut short would have taken longer: its aim stands for that. Its whole time would make a few
-        // queries caught by one hung replica look like a slow fleet.
+        // One cut short would have taken longer: its aim stands for that. One hung replica is no slow fleet.
         let until = if served { query.enough_at.unwrap_or(self.now) } else { self.now };
         let least = if served { 0.0 } else { self.s.classes[query.class].aim };
         let took = (until - query.accepted).max(least);
@@ -960,7 +957,7 @@
             idle.into_iter().for_each(|number| self.let_go(number));
         }
         for server in self.servers.values_mut().filter(|s| s.parked.is_some() && now >= s.probe_at) {
-            server.probe_at = now + PROBE_EVERY;
+            server.probe_at = now + self.min_aim * PROBE_OF_AIM;
             if self.s.probes {
                 self.actions.push(Action::Probe { replica: server.line.id.clone() });
             } else {
@@ -974,8 +971,8 @@
     }
 
     fn set_wake(&mut self) {
-        let idle = self.queries.is_empty();
-        let due = self.now + if idle { PROBE_EVERY * WAIT_OF_AIM } else { self.s.tick * SWEEP_TICKS };
+        let (idle, probe) = (self.queries.is_empty(), self.min_aim * PROBE_OF_AIM);
+        let due = self.now + if idle { probe * WAIT_OF_AIM } else { self.s.tick * SWEEP_TICKS };
         if self.wake.is_none_or(|at| at > due || at <= self.now) {
             self.wake = Some(due);
             self.actions.push(Action::WakeAt(due));
--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -17,7 +17,7 @@
 
 /// Silence of so many usual answers, with something out, looks like a connection that has fallen silent. One that
 /// is only slow costs a further connection by that, as what is out on it is still waited for.
-const SILENT_OF_USUAL: u32 = 5;
+const SILENT_OF_USUAL: u32 = 3;
 /// The weight of an answer in the usual time of answers is one in so many.
 const USUAL_OF: u32 = 8;
 
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -310,11 +310,11 @@
 }
 
 #[test]
-fn a_connection_with_nothing_heard_for_five_usual_answers_is_silent_until_it_speaks() {
+fn a_connection_with_nothing_heard_for_three_usual_answers_is_silent_until_it_speaks() {
     let now = Instant::now();
     let after = |millis| now + Duration::from_millis(millis);
     let mut link = out(2, now);
-    assert!(!link.is_silent(after(499)) && link.is_silent(after(500)));
+    assert!(!link.is_silent(after(299)) && link.is_silent(after(300)));
     assert!(!link.is_suspect(), "it may only be slow");
     // It speaks again: the other call is still out, and its time starts anew.
     assert_eq!(link.read(&answer("q0.0", 'S'), after(600)).0.len(), 1);
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -59,6 +59,18 @@
     assert!(to_bad <= 12, "{to_bad} of 60 went to the failing replica");
 }
 
+#[test]
+fn where_aims_are_short_a_parked_replica_is_probed_sooner() {
+    let mut s = settings(Repeat::Safe);
+    s.classes[0].aim = 300.0;
+    let mut router = start(s, &["a", "b", "c"]);
+    let sent = sends(&router.step(10.0, query(1, 1, 900.0)));
+    let after = run(&mut router, 15.0, 150.0);
+    assert_eq!(parked(&after), [sent[0].1.clone()]);
+    let probe = |action: &Action| matches!(action, Action::Probe { replica } if *replica.0 == *sent[0].1);
+    assert!(run(&mut router, 155.0, 360.0).iter().any(probe), "two thirds of the aim later");
+}
+
 #[test]
 fn parts_of_one_step_prefer_to_share_a_call() {
     let s = Settings { call_overhead: 500.0, ..settings(Repeat::Safe) };
