Send no part to a run store that fails most of its class while another holds the shard

At fault: decide.rs, choose(): the preference for replicas not tried yet stands before the record, and the record is only a factor of a rate that quick failures leave high. Its weak point is in the design, which says so; its counterweight was too light for repeats. Ruled out: leaving those two out of the mean utilization as well (busy()).

Test: a part turned away by both good replicas does not go to the bad one, which is free; it fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -72,8 +72,10 @@
 const WARY_AIMS: f64 = 20.0;
 /// Usual latencies without a part completed after which a replica that reset parts is dead, not just cut off.
 const DEAD_AFTER_USUAL: f64 = 1.5;
-/// Share of its last parts that a replica has lost from which unsafe parts go elsewhere if they can.
+/// Shares of its last parts that a replica lost, from which unsafe parts go elsewhere if they can, and that
+/// it failed of a class, from which all do: what fails at once looks fast and idle, to repeats above all.
 const LOSSY: f64 = 0.05;
+const FAILING: f64 = 0.5;
 /// Queries of a tenant that may come in a clump within its share, if a second's worth is less.
 const QUOTA_SLACK: f64 = 5.0;
 /// Ticks between sweeps while queries are held.
@@ -724,6 +726,7 @@
             return pool.iter().max_by(|a, b| rated(a).total_cmp(&rated(b))).map(|s| s.number);
         }
         prefer(&mut pool, |s| s.parked.is_none());
+        prefer(&mut pool, |s| s.failed[class].at(self.now, self.min_aim) < FAILING);
         prefer(&mut pool, |s| !part.tried.contains(&s.number));
         // A record recovers with a few parts. What can't go again needs a longer memory.
         if self.s.classes[class].repeat == Repeat::Unsafe {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -59,6 +59,31 @@
     assert!(to_bad <= 12, "{to_bad} of 60 went to the failing replica");
 }
 
+#[test]
+fn a_repeat_does_not_go_to_a_replica_that_fails_most_parts() {
+    let mut router = start(settings(Repeat::Safe), &["bad", "g1", "g2"]);
+    let mut now = 10.0;
+    // Each of them has some parts at once, and the bad one fails its own, one after the other.
+    let sent = sends(&router.step(now, query(1, 12, now + 3000.0)));
+    assert!(sent.iter().filter(|(_, to)| to == "bad").count() >= 3, "{sent:?}");
+    for (part, to) in &sent {
+        now += 2.0;
+        let outcome = if to == "bad" { Outcome::Errored } else { Outcome::Completed };
+        router.step(now, vec![ended(part, 0, to, outcome, 20.0)]);
+    }
+    // Both good ones turn a part away: the bad one is free, and would have it at once.
+    let mut sent = sends(&router.step(now, query(1000, 1, now + 3000.0)));
+    for attempt in 0..2 {
+        assert_ne!(sent[0].1, "bad");
+        now += 5.0;
+        let event = ended("q1000.0", attempt, &sent[0].1, Outcome::Rejected, 5.0);
+        sent = sends(&router.step(now, vec![event]));
+        sent.extend(sends(&run(&mut router, now, now + 450.0)));
+        now += 450.0;
+    }
+    assert_ne!(sent[0].1, "bad", "the third attempt");
+}
+
 #[test]
 fn where_aims_are_short_a_parked_replica_is_probed_sooner() {
     let mut s = settings(Repeat::Safe);
