Let a start beside a process that is ending be a plain one; test peers that write bytes

A process that had its SIGTERM and has stopped accepting has nothing to hand over. Asked, it refused, and a restart that did not wait for its end failed with it; now it says that it is ending and the new one starts as if alone. Checked on sockets: the new one serves while the old one still holds a query. The test fails without the change. Also tests that run stores and clients of both wires, and operators, may write a byte at a time, that both processes' connections stay under the limit on descriptors, and one fixture for the four test files that drive a core by itself.

--- a/src/config.rs
+++ b/src/config.rs
@@ -318,7 +318,11 @@
     fn what_is_not_said_has_a_default() {
         let config = parse(&format!(r#""discovery":"127.0.0.1:1",{SETTINGS}"#)).unwrap();
         assert_eq!((config.limits.sockets, config.api, config.seed()), (1024, Api::Platform, 0));
-        assert!(config.client_connections(0) + config.store_connections(0) + SPARE_DESCRIPTORS <= 1024);
+        for elsewhere in [0, 300, 900] {
+            let own = config.client_connections(elsewhere) + config.store_connections(elsewhere);
+            assert!(own + SPARE_DESCRIPTORS + elsewhere <= 1024, "{own} beside {elsewhere}");
+        }
+        assert!(config.client_connections(5000) > 0, "however much the other holds");
     }
 
     #[test]
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -68,6 +68,8 @@
         /// The aggregator's name.
         name: String,
     },
+    /// The old one accepts no more, as it is to end: there is nothing to hand over.
+    Ending,
     /// The old one does not hand over.
     No(String),
     /// The old one hands over.
@@ -148,7 +150,7 @@
             Word::Back(id, at) => process.told_by_hand(at, &id, false),
             Word::Held(held) => process.leave_room(Some(held)),
             Word::Serving => serving(),
-            Word::Hello { .. } | Word::No(_) | Word::State(_) => return,
+            Word::Hello { .. } | Word::Ending | Word::No(_) | Word::State(_) => return,
         }
     }
 }
--- a/src/handover/new.rs
+++ b/src/handover/new.rs
@@ -52,6 +52,7 @@
     };
     match within(HANDOVER, asked).await.map_err(failed)? {
         (sockets, Word::State(state), lines) => Ok(Some(Taken { state: *state, sockets, link, lines })),
+        (_, Word::Ending, _) => Ok(None),
         (_, Word::No(why), _) => Err(format!("the running process does not hand over: {why}")),
         _ => Err("the running process does not hand over: it says what was not asked".into()),
     }
--- a/src/handover/old.rs
+++ b/src/handover/old.rs
@@ -75,18 +75,17 @@
 ) -> io::Result<()> {
     let mut lines = Lines::default();
     let hello = within(LIMIT, lines.next(link)).await?;
-    let refusal = match (&hello, process.sockets()) {
-        (Word::Hello { version, name }, Some(sockets)) if *version == VERSION && *name == process.name() => {
-            Ok(sockets)
-        }
-        (Word::Hello { .. }, None) => Err("it is to end"),
-        _ => Err("it is another aggregator, or of a version that speaks otherwise"),
-    };
-    let sockets = match refusal {
-        Ok(sockets) => sockets,
-        Err(why) => {
+    let ours = matches!(&hello, Word::Hello { version: VERSION, name } if *name == process.name());
+    let other = "it is another aggregator, or of a version that speaks otherwise";
+    let sockets = match process.sockets() {
+        Some(sockets) if ours => sockets,
+        sockets => {
+            let (word, why) = match sockets {
+                None if ours => (Word::Ending, "this process is to end"),
+                _ => (Word::No(other.into()), other),
+            };
             within(LIMIT, link.pass(&[])).await?;
-            within(LIMIT, link.say(&Word::No(why.into()))).await?;
+            within(LIMIT, link.say(&word)).await?;
             return Err(io::Error::other(why));
         }
     };
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,7 +1,11 @@
 //! The core's own guards, without any wire: one answer to each query, one end to each send, honest answers.
 
-use ironpaddle::api::{Outcome, Replica, ReplicaState};
-use ironpaddle::core::{Ask, AskPart, Call, CallEnd, Core, Listed, News, NotTaken, Order, QueryNo, Verdict};
+#[path = "common/core.rs"]
+mod fixture;
+
+use fixture::{calls, orders};
+use ironpaddle::api::{Outcome, ReplicaState};
+use ironpaddle::core::{Ask, CallEnd, Core, Listed, News, NotTaken, Order, QueryNo, Verdict};
 use ironpaddle::settings::Info;
 use serde_json::json;
 
@@ -22,34 +26,11 @@
 }
 
 fn listed(name: &str, state: ReplicaState) -> Listed {
-    let replica = Replica { id: name.into(), state, weight: 1.0, ..Replica::default() };
-    Listed { replica, address: Some(([127, 0, 0, 1], 9).into()) }
+    fixture::listed(name, state, 0.0)
 }
 
 fn ask(class: &str, parts: u32) -> Ask {
-    let part = |shard| AskPart { shard, weight: 1.0 / f64::from(parts), hint: None, key: None };
-    Ask {
-        id: "r1".into(),
-        class: class.into(),
-        tenant: None,
-        timeout: Some(2000.0),
-        retried: false,
-        partial: true,
-        parts: (0..parts).map(part).collect(),
-        text: b"text"[..].into(),
-    }
-}
-
-fn orders(core: &mut Core) -> Vec<Order> {
-    std::iter::from_fn(|| core.next_order()).collect()
-}
-
-fn calls(orders: &[Order]) -> Vec<Call> {
-    let call = |order: &Order| match order {
-        Order::Send(call) => Some(call.clone()),
-        _ => None,
-    };
-    orders.iter().filter_map(call).collect()
+    fixture::ask("r1", class, parts, 2000.0)
 }
 
 fn finals(orders: &[Order]) -> Vec<(QueryNo, Verdict)> {
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -1,9 +1,12 @@
 //! The figures add up, whatever happens in whatever order: checked on the core over random steps.
 
+#[path = "common/core.rs"]
+mod fixture;
+
 use std::collections::BTreeMap;
 
-use ironpaddle::api::{Outcome, Replica};
-use ironpaddle::core::{Ask, AskPart, Call, CallEnd, Core, Listed, News, Order, QueryNo, Verdict};
+use ironpaddle::api::{Outcome, ReplicaState};
+use ironpaddle::core::{Call, CallEnd, Core, News, Order, QueryNo, Verdict};
 use ironpaddle::settings::Info;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -49,10 +52,7 @@
     }))
     .unwrap();
     let mut core = Core::new(&info, 7).unwrap();
-    let line = |name: &str| Listed {
-        replica: Replica { id: name.into(), weight: 1.0, ..Replica::default() },
-        address: Some(([127, 0, 0, 1], 9).into()),
-    };
+    let line = |name: &str| fixture::listed(name, ReplicaState::Active, 0.0);
     core.take_news(News::Cached(vec![line("a"), line("b")]));
     core
 }
@@ -92,17 +92,7 @@
     for (at, step) in steps.iter().enumerate() {
         match step {
             Step::Ask(class, parts, wait) => {
-                let part = |shard| AskPart { shard, weight: 1.0 / f64::from(*parts), hint: None, key: None };
-                let ask = Ask {
-                    id: format!("r{at}"),
-                    class: CLASSES[*class].into(),
-                    tenant: None,
-                    timeout: Some(*wait),
-                    retried: false,
-                    partial: true,
-                    parts: (0..*parts).map(part).collect(),
-                    text: b"text"[..].into(),
-                };
+                let ask = fixture::ask(&format!("r{at}"), CLASSES[*class], *parts, *wait);
                 seen.open.insert(core.take_in(now, ask).unwrap(), *class);
             }
             Step::End(which, outcome) if !seen.out.is_empty() => {
--- a/tests/hand.rs
+++ b/tests/hand.rs
@@ -1,7 +1,11 @@
 //! Run stores out by hand, on the core: whatever a directory tells, in whatever order.
 
-use ironpaddle::api::{Outcome, Replica, ReplicaState};
-use ironpaddle::core::{Ask, AskPart, Call, CallEnd, Core, Listed, News, Order};
+#[path = "common/core.rs"]
+mod fixture;
+
+use fixture::{calls, listed as line, orders};
+use ironpaddle::api::{Outcome, ReplicaState};
+use ironpaddle::core::{Ask, Call, CallEnd, Core, News, Order};
 use ironpaddle::settings::Info;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -26,35 +30,8 @@
     core
 }
 
-fn line(name: &str, state: ReplicaState, started: f64) -> Listed {
-    let started = Some(started).filter(|at| *at > 0.0);
-    let replica = Replica { id: name.into(), state, weight: 1.0, started, ..Replica::default() };
-    Listed { replica, address: Some(([127, 0, 0, 1], 9).into()) }
-}
-
 fn ask(number: usize) -> Ask {
-    Ask {
-        id: format!("r{number}"),
-        class: "search".into(),
-        tenant: None,
-        timeout: Some(900.0),
-        retried: false,
-        partial: true,
-        parts: vec![AskPart { shard: 0, weight: 1.0, hint: None, key: None }],
-        text: b"text"[..].into(),
-    }
-}
-
-fn orders(core: &mut Core) -> Vec<Order> {
-    std::iter::from_fn(|| core.next_order()).collect()
-}
-
-fn calls(orders: &[Order]) -> Vec<Call> {
-    let call = |order: &Order| match order {
-        Order::Send(call) => Some(call.clone()),
-        _ => None,
-    };
-    orders.iter().filter_map(call).collect()
+    fixture::ask(&format!("r{number}"), "search", 1, 900.0)
 }
 
 #[derive(Debug, Clone)]
--- a/tests/legacy.rs
+++ b/tests/legacy.rs
@@ -1,8 +1,11 @@
 //! What a core leaves to the core of a process that takes over.
 
-use ironpaddle::api::{Outcome, Replica, ReplicaState};
+#[path = "common/core.rs"]
+mod fixture;
+
+use ironpaddle::api::{Outcome, ReplicaState};
 use ironpaddle::core::legacy::Legacy;
-use ironpaddle::core::{Ask, AskPart, CallEnd, Core, Listed, News, Order};
+use ironpaddle::core::{CallEnd, Core, News};
 use ironpaddle::settings::Info;
 use serde_json::json;
 
@@ -20,16 +23,7 @@
 }
 
 fn list() -> News {
-    let line = |name: &str| Listed {
-        replica: Replica {
-            id: name.into(),
-            state: ReplicaState::Active,
-            weight: 1.0,
-            started: Some(5.0),
-            ..Replica::default()
-        },
-        address: Some(([127, 0, 0, 1], 9).into()),
-    };
+    let line = |name: &str| fixture::listed(name, ReplicaState::Active, 5.0);
     News::Cached(["a", "b", "c"].map(line).into())
 }
 
@@ -37,23 +31,12 @@
 fn load(core: &mut Core, now: &mut f64, class: &str, queries: usize) -> Vec<String> {
     let mut went = Vec::new();
     for number in 0..queries {
-        let part = AskPart { shard: 0, weight: 1.0, hint: None, key: None };
-        let ask = Ask {
-            id: format!("r{number}"),
-            class: class.into(),
-            tenant: None,
-            timeout: Some(900.0),
-            retried: false,
-            partial: true,
-            parts: vec![part],
-            text: b"text"[..].into(),
-        };
+        let ask = fixture::ask(&format!("r{number}"), class, 1, 900.0);
         core.take_in(*now, ask).unwrap();
         *now += 5.0;
         core.step(*now);
-        let orders: Vec<_> = std::iter::from_fn(|| core.next_order()).collect();
-        for order in orders {
-            let Order::Send(call) = order else { continue };
+        let orders = fixture::orders(core);
+        for call in fixture::calls(&orders) {
             let lost = call.replica == "a".into();
             let outcome = if lost { Outcome::ConnectFailed } else { Outcome::Completed };
             core.call_ended(*now, call.no, CallEnd { outcome, value: Some(b"v"[..].into()), load: None });
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -13,7 +13,7 @@
 
 use aggregator::{answer, line, Aggregator};
 use serde_json::json;
-use stand_in::{discovery, Act, Board, Wire, WIRES};
+use stand_in::{discovery, in_pieces, Act, Board, Wire, WIRES};
 
 #[test]
 fn a_query_is_served_whole_with_the_values_as_given() {
@@ -364,6 +364,24 @@
     }
 }
 
+#[test]
+fn peers_may_write_a_byte_at_a_time() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        aggregator.board.act(0, Act::Pieces);
+        aggregator.board.act(1, Act::Pieces);
+        for shards in [&[0][..], &[0, 1, 2, 3]] {
+            assert!(aggregator.ask("run-lookup", shards, 9000).whole(), "{wire:?}");
+        }
+        let mut client = aggregator.connect();
+        in_pieces(&mut client, b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+        assert_eq!(answer(&mut client).status, 200, "{wire:?}");
+        let mut caller = std::net::TcpStream::connect(aggregator.operator.unwrap()).unwrap();
+        in_pieces(&mut caller, b"PUT /run-stores/s-0/maint HTTP/1.1\r\n\r\n").unwrap();
+        assert_eq!(answer(&mut caller).status, 200, "{wire:?}");
+    }
+}
+
 #[test]
 fn a_connection_that_falls_silent_is_not_taken_for_its_run_store() {
     for wire in WIRES {
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -34,6 +34,8 @@
     Break,
     /// It is taken, and its connection stays open and says nothing from then on.
     Mute,
+    /// Served, its answer written a byte at a time.
+    Pieces,
     /// It is taken, and an answer begins that never ends.
     Stuck,
     /// A raw answer to a search, its connection closed after it.
@@ -179,6 +181,11 @@
                 assert_eq!(id.rsplit_once('.').unwrap().1, shard);
                 match board.arrived(store, shard.parse().unwrap()) {
                     Act::Serve => answer(b'5', format!("{id} S 7 util=0.50,qps=3\nv{shard}").as_bytes())?,
+                    Act::Pieces => {
+                        let rest = format!("5{id} S 7 -\nv{shard}");
+                        let frame = [&(rest.len() as u32).to_le_bytes()[..], rest.as_bytes()].concat();
+                        in_pieces(&mut send, &frame)?;
+                    }
                     Act::Error => answer(b'5', format!("{id} E 7 -\n").as_bytes())?,
                     Act::TurnAway => answer(b'5', format!("{id} B 7 -\n").as_bytes())?,
                     Act::Silent | Act::Half => {}
@@ -222,6 +229,12 @@
     stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}").as_bytes())
 }
 
+/// Writes a byte at a time, each on its own as far as the system lets it.
+pub fn in_pieces(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    bytes.iter().try_for_each(|byte| stream.write_all(&[*byte]))
+}
+
 fn searches(board: &Board, store: usize, mut stream: TcpStream) -> io::Result<()> {
     loop {
         let (first, _, _) = read_http(&mut stream)?;
@@ -232,12 +245,18 @@
         assert!(first.contains("/_search?"), "{first}");
         let shard: u32 = first.split("_shards:").nth(1).unwrap().split('&').next().unwrap().parse().unwrap();
         match board.arrived(store, shard) {
-            Act::Serve => {
+            act @ (Act::Serve | Act::Pieces) => {
                 let body = json!({"took": 1, "timed_out": false,
                     "_shards": {"total": 1, "successful": 1, "skipped": 0, "failed": 0},
                     "hits": {"total": {"value": 1, "relation": "eq"}, "max_score": 1.0,
                         "hits": [{"_index": "i", "_id": format!("v{shard}"), "_score": 1.0}]}});
-                respond(&mut stream, "200 OK", &body.to_string())?;
+                if act == Act::Pieces {
+                    let head =
+                        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.to_string().len());
+                    in_pieces(&mut stream, format!("{head}{body}").as_bytes())?;
+                } else {
+                    respond(&mut stream, "200 OK", &body.to_string())?;
+                }
             }
             Act::Error => respond(&mut stream, "500 Internal Server Error", "{\"error\":{},\"status\":500}")?,
             Act::TurnAway => respond(&mut stream, "429 Too Many Requests", "{\"error\":{},\"status\":429}")?,
--- a/tests/sockets/upgrade.rs
+++ b/tests/sockets/upgrade.rs
@@ -1,7 +1,9 @@
 //! A new process takes over from a running one, under load.
 
 use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::os::unix::net::UnixStream;
+use std::time::Duration;
 
 use serde_json::json;
 
@@ -174,6 +176,25 @@
     assert!(newer.ask("run-lookup", &[0], 8000).whole(), "it can be taken over from in its turn");
 }
 
+#[test]
+fn one_that_accepts_no_more_hands_nothing_over_and_a_plain_start_stands_beside_it() {
+    let old = Aggregator::start(Wire::Frames, 1);
+    old.board.act(0, Act::Silent);
+    let held = old.begin("run-lookup", &[0], 9000);
+    old.board.wait("the part", |state| state.parts.len() == 1);
+    old.signal("TERM");
+    old.logged("draining");
+    // Until it stops accepting, it hands over; a new connection is refused from then on.
+    while TcpStream::connect(old.address).is_ok() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    old.board.act(0, Act::Serve);
+    let new = old.succeed();
+    assert_ne!(new.address, old.address, "a socket of its own");
+    assert!(new.ask("run-lookup", &[1], 8000).whole());
+    drop(held);
+}
+
 #[test]
 fn two_processes_share_the_limit_on_what_is_held() {
     for wire in WIRES {
