Leave a log line with a reason code for each handover connection that ends

The house style asks it of every connection, and the link between two processes had only words. The reasons of a failed read or write, which the watch on discovery had for itself, are the log's now. Test: the line of the old process's end, over both wires.

--- a/src/directory/watch.rs
+++ b/src/directory/watch.rs
@@ -58,14 +58,7 @@
                 None => self.ended(address, Reason::Retired, "discovery has moved"),
             }
         };
-        let reason = match why.kind() {
-            io::ErrorKind::TimedOut => Reason::TooSlow,
-            io::ErrorKind::ConnectionRefused => Reason::ConnectFailed,
-            io::ErrorKind::InvalidData => Reason::Malformed,
-            io::ErrorKind::UnexpectedEof => Reason::PeerClosed,
-            _ => Reason::Reset,
-        };
-        self.ended(address, reason, &why.to_string());
+        self.ended(address, why.kind().into(), &why.to_string());
         // The core decides when to ask again.
         self.on.set(false);
         self.driver.take_news(News::Broken);
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -10,6 +10,7 @@
 pub mod old;
 
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -132,25 +133,31 @@
     }
 }
 
-/// Says what there is to say, and ends when the other process is gone.
-async fn speak(link: &Link, words: &Receiver<Word>) {
+/// Says what there is to say; ends when that cannot be said.
+async fn speak(link: &Link, words: &Receiver<Word>) -> io::Error {
     while let Ok(word) = words.recv().await {
-        if within(LIMIT, link.say(&word)).await.is_err() {
-            return;
+        if let Err(error) = within(LIMIT, link.say(&word)).await {
+            return error;
         }
     }
     future::pending().await
 }
 
-/// Hears the other process out until it is gone.
-async fn hear(link: &Link, lines: &mut Lines, process: &dyn Process, mut serving: impl FnMut()) {
-    while let Ok(word) = lines.next(link).await {
+/// Hears the other process out; says how that ended.
+async fn hear(link: &Link, lines: &mut Lines, process: &dyn Process, mut serving: impl FnMut()) -> io::Error {
+    loop {
+        let word = match lines.next(link).await {
+            Ok(word) => word,
+            Err(error) => return error,
+        };
         match word {
             Word::Out(id) => process.told_by_hand(0.0, &id, true),
             Word::Back(id, at) => process.told_by_hand(at, &id, false),
             Word::Held(held) => process.leave_room(Some(held)),
             Word::Serving => serving(),
-            Word::Hello { .. } | Word::Ending | Word::No(_) | Word::State(_) => return,
+            Word::Hello { .. } | Word::Ending | Word::No(_) | Word::State(_) => {
+                return io::Error::new(io::ErrorKind::InvalidData, "a word out of its place");
+            }
         }
     }
 }
--- a/src/handover/new.rs
+++ b/src/handover/new.rs
@@ -63,7 +63,8 @@
     let (link, mut lines) = with;
     let words = wire.open();
     wire.say(Word::Serving);
-    future::or(hear(&link, &mut lines, process, || {}), speak(&link, &words)).await;
+    let why = future::or(hear(&link, &mut lines, process, || {}), speak(&link, &words)).await;
+    log::ended("handover", None, why.kind().into(), why);
     process.leave_room(None);
     log::line("handover: the old process is gone");
 }
--- a/src/handover/old.rs
+++ b/src/handover/old.rs
@@ -37,18 +37,22 @@
         while let Some(waiting) = listener.take() {
             let stream = waiting.accept().await;
             listener.set(Some(waiting));
-            let offered = match stream {
-                Ok((stream, _)) => match Link::new(stream) {
-                    Ok(link) => offer(&link, &*process, wire, &listener).await,
-                    Err(error) => Err(error),
-                },
+            let stream = match stream {
+                Ok((stream, _)) => stream,
                 Err(error) => {
+                    log::line(&format!("handover: accept failed: {error}"));
                     Timer::after(ACCEPT_PAUSE).await;
-                    Err(error)
+                    continue;
                 }
             };
-            if let Err(error) = offered {
-                log::line(&format!("handover: failed, this process serves on: {error}"));
+            let offered = match Link::new(stream) {
+                Ok(link) => offer(&link, &*process, wire, &listener).await,
+                Err(error) => Err(error),
+            };
+            let (Ok(why) | Err(why)) = &offered;
+            log::ended("handover", None, why.kind().into(), why);
+            if offered.is_err() {
+                log::line("handover: failed, this process serves on");
             }
         }
         // The one that took over is gone.
@@ -65,14 +69,14 @@
     Async::<UnixListener>::bind(path)
 }
 
-/// Hands over to a process that asks, and stays in step with it until it is gone. Once it serves, this process
+/// Hands over to a process that asks, and stays in step with it; says how that ended. Once it serves, this process
 /// listens here no longer: the next one asks that one.
 async fn offer(
     link: &Link,
     process: &dyn Process,
     wire: &Wire,
     listener: &Cell<Option<Async<UnixListener>>>,
-) -> io::Result<()> {
+) -> io::Result<io::Error> {
     let mut lines = Lines::default();
     let hello = within(LIMIT, lines.next(link)).await?;
     let ours = matches!(&hello, Word::Hello { version: VERSION, name } if *name == process.name());
@@ -114,11 +118,12 @@
         if serving.get() {
             future::pending().await
         }
+        io::ErrorKind::TimedOut.into()
     };
-    future::or(heard, future::or(speak(link, &words), future::or(told, impatient))).await;
+    let why = future::or(heard, future::or(speak(link, &words), future::or(told, impatient))).await;
     if serving.get() {
-        Ok(())
+        Ok(why)
     } else {
-        Err(io::Error::other("the new process has gone, or does not come to serve"))
+        Err(why)
     }
 }
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,7 +1,7 @@
 //! The log: lines on standard error.
 
 use std::fmt;
-use std::io::Write;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 
 /// Why a connection ended.
@@ -62,6 +62,19 @@
     }
 }
 
+impl From<io::ErrorKind> for Reason {
+    /// Why a connection ended on which a read or a write failed.
+    fn from(kind: io::ErrorKind) -> Self {
+        match kind {
+            io::ErrorKind::TimedOut => Reason::TooSlow,
+            io::ErrorKind::ConnectionRefused => Reason::ConnectFailed,
+            io::ErrorKind::InvalidData => Reason::Malformed,
+            io::ErrorKind::UnexpectedEof => Reason::PeerClosed,
+            _ => Reason::Reset,
+        }
+    }
+}
+
 /// Writes a line. A log that cannot be written is no reason to stop.
 pub fn line(text: &str) {
     let _ = writeln!(std::io::stderr().lock(), "{text}");
--- a/tests/sockets/upgrade.rs
+++ b/tests/sockets/upgrade.rs
@@ -34,6 +34,8 @@
         assert!(answer(&mut held).status >= 200, "{wire:?}: what the old one held is answered");
         assert_eq!(kept.read(&mut [0]).unwrap(), 0, "{wire:?}: what stood idle there is closed");
         assert_eq!(old.wait().code(), Some(0), "{wire:?}");
+        let line = new.logged("end handover");
+        assert!(line.contains("code=peer_closed"), "{wire:?}: {line}");
         new.logged("handover: the old process is gone");
         assert!(new.ask("run-lookup", &[0], 8000).whole(), "{wire:?}");
     }
