Wait in a test for what was written before a call before counting what follows it

Under load the test of a queue at a run store that is taken out failed once in two runs: parts written before the yes were read by the stand-in after it and counted as sent later.

--- a/tests/sockets/calls.rs
+++ b/tests/sockets/calls.rs
@@ -230,6 +230,10 @@
             .board
             .wait("a part at each", |state| (0..2).all(|at| state.parts.iter().any(|p| p.0 == at)));
         assert_eq!(aggregator.call("PUT", "/run-stores/s-0/maint").status, 200, "{wire:?}");
+        // What was written before the yes may be read after it.
+        let tries = figure(&aggregator.call("GET", "/stats").body, "tries");
+        let tries: usize = tries.trim_end_matches("|c").parse().unwrap();
+        aggregator.board.wait("all that was written", |state| state.parts.len() >= tries);
         let before = aggregator.board.read(|state| state.parts.iter().filter(|part| part.0 == 0).count());
         aggregator.board.act(1, Act::Serve);
         for shard in 0..4 {
