--- a/src/api.rs
+++ b/src/api.rs
@@ -38,23 +38,23 @@
 );
 
 /// A shard of the store.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Shard(pub u32);
 
 /// A query class, by its place in [`Settings::classes`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClassIndex(pub usize);
 
 /// A tenant, by its place in [`Settings::tenants`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TenantIndex(pub usize);
 
 /// The number of an attempt of one part: 0, 1, 2 in the order of the sends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Attempt(pub u32);
 
 /// May a part be sent again?
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Repeat {
     /// Running it twice does no harm.
     Safe,
@@ -68,7 +68,7 @@
 }
 
 /// What is known of a query class.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// An answer within this time earns its full worth.
     pub aim: Millis,
@@ -89,14 +89,14 @@
 }
 
 /// A tenant and what it may ask for.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Queries a second inside its share, over all routers together.
     pub quota_per_s: f64,
 }
 
 /// How changes to the list of replicas reach the router.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Discovery {
     /// They come unasked.
     #[default]
@@ -106,7 +106,7 @@
 }
 
 /// What a cold replica can bear.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct ColdRule {
     /// It starts at this share of its capacity or more.
     pub from: f64,
@@ -119,7 +119,7 @@
 }
 
 /// A stated limit on attempts past the first of each part.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct AttemptBudget {
     /// Attempts that are always allowed in a window.
     pub free: f64,
@@ -130,7 +130,7 @@
 }
 
 /// What a router is told at its start. The default is a start for filling in and does not pass [`Settings::check`].
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// The classes of query; at least one.
     pub classes: Vec<Class>,
--- /dev/null
+++ b/src/cli/trace.rs
@@ -0,0 +1,627 @@
+//! `ironpaddle trace`: what on-call staff do with recordings.
+
+use std::fs::File;
+use std::io::{self, BufWriter, IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::{Args, Subcommand};
+use ironpaddle_trace::block::Block;
+use ironpaddle_trace::edit::{self, Pick, Pseudonyms};
+use ironpaddle_trace::record::{self, Entry, Record};
+use ironpaddle_trace::set::{Met, Set};
+use ironpaddle_trace::summary::{self, Only, Service, Summary};
+use ironpaddle_trace::{story, Error, VERSION};
+use serde::Serialize;
+use serde_json::json;
+
+use super::Found;
+use crate::settings::Info;
+use crate::trace::replay::{Replay, Report};
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Tell what segments there are, whether they are whole, and what they span.
+    #[command(after_help = "Example: ironpaddle trace info --verify /var/lib/ironpaddle/trace")]
+    Info {
+        /// Segments, or folders of them.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+        /// Read every block and index.
+        #[arg(long)]
+        verify: bool,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Print entries, a line each, in the order of their times.
+    #[command(
+        after_help = "Example: ironpaddle trace cat --from 02:10 --to 02:11 --run-store s-5be2a07c trace/"
+    )]
+    Cat {
+        /// Segments, or folders of them.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+        #[command(flatten)]
+        which: Which,
+        /// Print steps too in which nothing happened.
+        #[arg(long)]
+        all: bool,
+        /// Print JSON, an object a line.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Count service by class, group and run store.
+    #[command(after_help = "Example: ironpaddle trace summary --from 02:00 --to 03:00 --json trace/")]
+    Summary {
+        /// Segments, or folders of them.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+        #[command(flatten)]
+        span: Span,
+        /// Only queries of this class.
+        #[arg(long)]
+        class: Option<String>,
+        /// Only queries of this group.
+        #[arg(long)]
+        group: Option<String>,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Write a part of a trace as a trace.
+    #[command(
+        after_help = "A cut by time alone begins with the last checkpoint before it and can be replayed; one of \
+                            picked queries can not.\n\nExample: ironpaddle trace cut --from 02:10 --to 02:15 -o night.iptrace trace/"
+    )]
+    Cut {
+        /// Segments, or folders of them.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+        #[command(flatten)]
+        which: Which,
+        /// The new file.
+        #[arg(short, long)]
+        output: PathBuf,
+    },
+    /// Write traces of several aggregators or versions as one, in order of time.
+    #[command(after_help = "Example: ironpaddle trace merge -o night.iptrace n0/ n1/ n2/")]
+    Merge {
+        /// Segments, or folders of them.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+        /// The new file.
+        #[arg(short, long)]
+        output: PathBuf,
+    },
+    /// Write a trace in which names of groups and queries are replaced; the same key gives the same names.
+    #[command(
+        after_help = "Example: ironpaddle trace anonymise --key site.key -o given-away.iptrace night.iptrace"
+    )]
+    Anonymise {
+        /// Segments, or folders of them.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+        /// A file that holds a secret of any kind.
+        #[arg(long)]
+        key: PathBuf,
+        /// The new file.
+        #[arg(short, long)]
+        output: PathBuf,
+    },
+    /// Feed the recorded events to the decision module again and compare what it says.
+    #[command(after_help = "Example: ironpaddle trace replay --settings tried.json night.iptrace")]
+    Replay {
+        /// Segments, or folders of them.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+        /// Replay with the settings object of this file, and tell how the ends of queries differ.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Tell what came of a query and why, part by part.
+    #[command(after_help = "Example: ironpaddle trace why 9b1f03aa5c7e2d41 trace/")]
+    Why {
+        /// The client's id of it, or its number (q123).
+        query: String,
+        /// Segments, or folders of them.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+/// A span of time.
+#[derive(Debug, Args)]
+pub struct Span {
+    /// From this time on: RFC 3339, Unix milliseconds, HH:MM[:SS] of the trace's first day (UTC), or +30s after its
+    /// beginning.
+    #[arg(long)]
+    from: Option<String>,
+    /// Up to this time.
+    #[arg(long)]
+    to: Option<String>,
+}
+
+/// Which entries.
+#[derive(Debug, Args)]
+pub struct Which {
+    #[command(flatten)]
+    span: Span,
+    /// Only what is about queries of this class.
+    #[arg(long)]
+    class: Option<String>,
+    /// Only what is about queries of this group.
+    #[arg(long)]
+    group: Option<String>,
+    /// Only what is about this query, by its client's id or number.
+    #[arg(long)]
+    query: Option<String>,
+    /// Only what is about queries of which an attempt went to this run store.
+    #[arg(long)]
+    run_store: Option<String>,
+}
+
+impl Which {
+    fn pick(&self) -> Pick {
+        Pick {
+            only: Only { class: self.class.clone(), group: self.group.clone() },
+            query: self.query.clone(),
+            run_store: self.run_store.clone(),
+        }
+    }
+}
+
+impl Span {
+    fn read(&self, set: &Set) -> Result<(f64, f64), String> {
+        let (first, _) = set.span().ok_or("the trace holds no entry")?;
+        let time = |text: &Option<String>, open| text.as_ref().map_or(Ok(open), |text| time(text, first));
+        Ok((time(&self.from, f64::NEG_INFINITY)?, time(&self.to, f64::INFINITY)?))
+    }
+}
+
+/// A time as people write it, in Unix milliseconds.
+fn time(text: &str, first: f64) -> Result<f64, String> {
+    const DAY: f64 = 86_400_000.0;
+    let wrong = || format!("{text}: is no time; see --help");
+    if let Some(after) = text.strip_prefix('+') {
+        let span = humantime::parse_duration(after).map_err(|_| wrong())?;
+        return Ok(first + span.as_secs_f64() * 1000.0);
+    }
+    if let Ok(at) = text.parse::<f64>() {
+        return if at.is_finite() { Ok(at) } else { Err(wrong()) };
+    }
+    if text.len() <= 8 && text.contains(':') {
+        let words: Vec<f64> =
+            text.split(':').map(|word| word.parse().map_err(|_| wrong())).collect::<Result<_, _>>()?;
+        let seconds = match words[..] {
+            [hours, minutes] => hours * 3600.0 + minutes * 60.0,
+            [hours, minutes, seconds] => hours * 3600.0 + minutes * 60.0 + seconds,
+            _ => return Err(wrong()),
+        };
+        return Ok((first / DAY).floor() * DAY + seconds * 1000.0);
+    }
+    let at = humantime::parse_rfc3339_weak(text).map_err(|_| wrong())?;
+    Ok(at.duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0)
+}
+
+/// A time as people read it.
+fn show(at: f64) -> String {
+    let time = Duration::try_from_secs_f64(at / 1000.0).ok().and_then(|since| UNIX_EPOCH.checked_add(since));
+    humantime::format_rfc3339_millis(time.unwrap_or(SystemTime::UNIX_EPOCH)).to_string()
+}
+
+/// How far a long run has come, on standard error if that is a terminal.
+struct Progress {
+    all: u64,
+    done: u64,
+    told: u64,
+}
+
+impl Progress {
+    fn of(set: &Set) -> Self {
+        let blocks = set.segments.iter().flat_map(|segment| segment.reader.blocks());
+        let all =
+            if io::stderr().is_terminal() { blocks.map(|block| u64::from(block.records)).sum() } else { 0 };
+        Progress { all, done: 0, told: 0 }
+    }
+
+    fn step(&mut self) {
+        if self.all == 0 {
+            return;
+        }
+        self.done += 1;
+        let part = self.done * 100 / self.all;
+        if part > self.told {
+            self.told = part;
+            eprint!("\r{part} %{}", if part == 100 { "\n" } else { "" });
+        }
+    }
+}
+
+fn text(error: Error) -> String {
+    error.to_string()
+}
+
+/// Runs a command.
+///
+/// # Errors
+/// If files cannot be read or written, or what was asked for is none.
+pub fn run(command: Command) -> Result<Found, String> {
+    match command {
+        Command::Info { paths, verify, json } => info(&paths, verify, json),
+        Command::Cat { paths, which, all, json } => cat(&paths, &which, all, json),
+        Command::Summary { paths, span, class, group, json } => {
+            let mut set = open(&paths)?;
+            let span = span.read(&set)?;
+            let summary = summary::summarise(&mut set, span, &Only { class, group });
+            let found = troubled(&set);
+            if json {
+                print_json(&summary)?;
+            } else {
+                print_summary(&summary).map_err(|error| error.to_string())?;
+            }
+            Ok(found)
+        }
+        Command::Cut { paths, which, output } => {
+            let mut set = open(&paths)?;
+            let span = which.span.read(&set)?;
+            make(&output, |file| edit::cut(&mut set, span, &which.pick(), file))?;
+            Ok(troubled(&set))
+        }
+        Command::Merge { paths, output } => {
+            let mut set = open(&paths)?;
+            make(&output, |file| edit::merge(&mut set, file))?;
+            Ok(troubled(&set))
+        }
+        Command::Anonymise { paths, key, output } => {
+            let mut set = open(&paths)?;
+            let secret = std::fs::read(&key).map_err(|error| format!("{}: {error}", key.display()))?;
+            if secret.is_empty() {
+                return Err(format!("{}: the key is empty", key.display()));
+            }
+            make(&output, |file| edit::anonymise(&mut set, &Pseudonyms::new(&secret), file))?;
+            Ok(troubled(&set))
+        }
+        Command::Replay { paths, settings, json } => replay(&paths, settings.as_deref(), json),
+        Command::Why { query, paths, json } => why(&query, &paths, json),
+    }
+}
+
+fn open(paths: &[PathBuf]) -> Result<Set, String> {
+    Set::open(paths).map_err(text)
+}
+
+/// Says what could not be read; that is something its caller has to know.
+fn troubled(set: &Set) -> Found {
+    for (path, why) in &set.troubles {
+        eprintln!("ironpaddle: {}: {why}", path.display());
+    }
+    let damaged = |(_, why): &(PathBuf, String)| !why.starts_with("it has no index");
+    if set.troubles.iter().any(damaged) {
+        Found::Fault
+    } else {
+        Found::Well
+    }
+}
+
+/// Makes a file whole, or not at all.
+fn make(
+    path: &Path,
+    write: impl FnOnce(BufWriter<File>) -> Result<BufWriter<File>, Error>,
+) -> Result<(), String> {
+    let failed = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
+    let mut half = path.as_os_str().to_owned();
+    half.push(".half");
+    let half = PathBuf::from(half);
+    let file = File::create(&half).map_err(|error| failed(&error))?;
+    let written = write(BufWriter::new(file)).and_then(|mut file| Ok(file.flush()?));
+    if let Err(error) = written {
+        let _ = std::fs::remove_file(&half);
+        return Err(failed(&error));
+    }
+    std::fs::rename(&half, path).map_err(|error| failed(&error))
+}
+
+fn print_json(value: &impl Serialize) -> Result<(), String> {
+    let out = io::stdout().lock();
+    let done = serde_json::to_writer(out, value).map_err(|error| error.to_string());
+    println!();
+    done
+}
+
+fn info(paths: &[PathBuf], verify: bool, json: bool) -> Result<Found, String> {
+    let mut set = open(paths)?;
+    let mut rows = Vec::new();
+    for segment in &mut set.segments {
+        let reader = &mut segment.reader;
+        let blocks = reader.blocks().to_vec();
+        let header = reader.header().cloned().unwrap_or_default();
+        let mut versions: Vec<u8> = Vec::new();
+        let mut bad = 0;
+        // The version stands in each block; the first one tells unless all are read.
+        for no in 0..if verify { blocks.len() } else { blocks.len().min(1) } {
+            match reader.block(no) {
+                Ok(block) if !versions.contains(&block.version) => versions.push(block.version),
+                Ok(_) => {}
+                Err(_) => bad += 1,
+            }
+        }
+        let index = if verify {
+            reader.index_is_sound().map_err(text)?
+        } else {
+            reader.is_complete().then_some(true)
+        };
+        if bad > 0 || index == Some(false) {
+            set.troubles
+                .push((segment.path.clone(), format!("{bad} damaged blocks, index sound: {index:?}")));
+        }
+        let sum = |of: fn(&ironpaddle_trace::index::BlockAt) -> u64| blocks.iter().map(of).sum::<u64>();
+        let sources: Vec<_> = header
+            .sources
+            .iter()
+            .map(|source| {
+                json!({"aggregator": source.aggregator, "started": source.started, "process": source.process,
+                "seed": source.seed, "program": source.program})
+            })
+            .collect();
+        rows.push(json!({
+            "file": segment.path.display().to_string(), "versions": versions, "sources": sources,
+            "segment": header.segment, "blocks": blocks.len(), "records": sum(|block| block.records.into()),
+            "bytes": sum(|block| block.length.into()), "raw_bytes": sum(|block| block.raw.into()),
+            "from": blocks.first().map(|block| show(block.first)),
+            "to": blocks.iter().map(|block| block.last).reduce(f64::max).map(show),
+            "index": index, "damaged_bytes": reader.damage().iter().map(|damage| damage.length).sum::<u64>(),
+            "damaged_blocks": bad,
+        }));
+    }
+    if json {
+        print_json(&json!({"version": VERSION, "segments": rows}))?;
+    } else {
+        for row in &rows {
+            let names: Vec<String> = row["sources"]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .map(|source| {
+                    format!(
+                        "{} (process {} of {})",
+                        source["aggregator"], source["process"], source["started"]
+                    )
+                })
+                .collect();
+            println!(
+                "{}\n  of {}, segment {}, versions {}\n  {} to {}\n  {} records in {} blocks, {} bytes ({} before \
+                 compression), index {}, damaged bytes {}",
+                row["file"].as_str().unwrap_or(""),
+                names.join(", "),
+                row["segment"],
+                row["versions"],
+                row["from"].as_str().unwrap_or("-"),
+                row["to"].as_str().unwrap_or("-"),
+                row["records"],
+                row["blocks"],
+                row["bytes"],
+                row["raw_bytes"],
+                match row["index"].as_bool() {
+                    Some(true) => "sound",
+                    Some(false) => "damaged",
+                    None => "missing (the recording did not end in good order)",
+                },
+                row["damaged_bytes"],
+            );
+        }
+    }
+    Ok(troubled(&set))
+}
+
+/// Whether a step says nothing but that time has passed.
+fn is_empty(record: &Record) -> bool {
+    match record {
+        Record::Step(step) => {
+            step.events.iter().all(|event| matches!(event, record::Event::Wake))
+                && step.actions.iter().all(|action| matches!(action, record::Action::WakeAt(_)))
+        }
+        _ => false,
+    }
+}
+
+fn cat(paths: &[PathBuf], which: &Which, all: bool, json: bool) -> Result<Found, String> {
+    let mut set = open(paths)?;
+    let (span, pick) = (which.span.read(&set)?, which.pick());
+    let picked = if pick.is_all() { None } else { Some(edit::picked(&mut set, span, &pick).map_err(text)?) };
+    let names: Vec<String> = set.sources.iter().map(|source| source.aggregator.clone()).collect();
+    let mut out = BufWriter::new(io::stdout().lock());
+    let mut failed = None;
+    let mut print = |source: usize, block: &Block, entry: &Entry| -> io::Result<()> {
+        let kept = match &picked {
+            None => Some(entry.record.clone()),
+            Some(picked) => edit::only_of(&entry.record, &|query| picked.contains(&(source, query))),
+        };
+        let Some(record) = kept.filter(|record| all || !is_empty(record)) else { return Ok(()) };
+        let value = record::with_names(&block.names, || serde_json::to_value(&record))?;
+        if json {
+            let line =
+                json!({"at": entry.at, "time": show(entry.at), "aggregator": names[source], "record": value});
+            writeln!(out, "{line}")
+        } else {
+            writeln!(out, "{} {} {value}", show(entry.at), names[source])
+        }
+    };
+    set.each(span, |met| {
+        if let (Met::Entry(source, block, entry), None) = (met, &failed) {
+            if (span.0..=span.1).contains(&entry.at) {
+                failed = print(source, block, entry).err();
+            }
+        }
+    });
+    match failed.or_else(|| out.flush().err()) {
+        // Who reads no further has seen enough.
+        Some(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(Found::Well),
+        Some(error) => Err(error.to_string()),
+        None => Ok(troubled(&set)),
+    }
+}
+
+fn print_summary(summary: &Summary) -> io::Result<()> {
+    let mut out = BufWriter::new(io::stdout().lock());
+    let columns = ["taken", "whole", "partial", "refused", "failed", "left", "p50 ms", "p90 ms", "p99 ms"];
+    for (title, rows) in [("class", &summary.classes), ("group", &summary.groups)] {
+        write!(out, "{title:<20}")?;
+        columns.iter().try_for_each(|column| write!(out, "{column:>9}"))?;
+        writeln!(out)?;
+        for (name, service) in rows {
+            let Service { taken, whole, partial, refused, failed, left, .. } = service;
+            write!(out, "{name:<20}")?;
+            [taken, whole, partial, refused, failed, left].iter().try_for_each(|n| write!(out, "{n:>9}"))?;
+            for quantile in ["p50", "p90", "p99"] {
+                match service.latency_ms.get(quantile) {
+                    Some(value) => write!(out, "{value:>9.1}")?,
+                    None => write!(out, "{:>9}", "-")?,
+                }
+            }
+            writeln!(out)?;
+        }
+        writeln!(out)?;
+    }
+    for (class, causes) in &summary.causes {
+        for (cause, count) in causes {
+            writeln!(out, "{class:<20}{count:>9}  {cause}")?;
+        }
+    }
+    for (name, store) in &summary.run_stores {
+        let ends: Vec<String> = store.ends.iter().map(|(end, count)| format!("{end}={count}")).collect();
+        writeln!(out, "{name:<20} {} probes={}/{}", ends.join(" "), store.probes_ok, store.probes_failed)?;
+    }
+    for process in &summary.processes {
+        let end = if process.ended { "ended in good order" } else { "did not end in good order" };
+        writeln!(
+            out,
+            "{} started {}: {} to {}, {} attempts written, {end}, {} records lost, {} gaps",
+            process.aggregator,
+            show(process.started as f64),
+            show(process.from),
+            show(process.to),
+            process.tries,
+            process.lost,
+            process.gaps,
+        )?;
+        for (class, [ok, shed, errors]) in &process.missing {
+            writeln!(
+                out,
+                "  not in the trace of what was counted, {class}: ok={ok} shed={shed} errors={errors}"
+            )?;
+        }
+    }
+    writeln!(out, "{} entries, {} queries without an end", summary.entries, summary.open)?;
+    out.flush()
+}
+
+fn replay(paths: &[PathBuf], settings: Option<&Path>, json: bool) -> Result<Found, String> {
+    let mut set = open(paths)?;
+    let other = settings.map(read_settings).transpose()?;
+    let mut replays: Vec<Replay> = set.sources.iter().map(|_| Replay::new(other.clone())).collect();
+    let mut progress = Progress::of(&set);
+    let began = std::time::Instant::now();
+    let span = set.span().unwrap_or_default();
+    set.blockwise((f64::NEG_INFINITY, f64::INFINITY), |met| match met {
+        Met::Entry(source, block, entry) => {
+            progress.step();
+            replays[source].take(block, entry);
+        }
+        Met::Gap(source) => replays[source].gap(),
+    });
+    let took = began.elapsed().as_secs_f64();
+    let reports: Vec<Report> = replays.into_iter().map(Replay::report).collect();
+    let differs = reports.iter().any(|report| report.difference.is_some() || report.checkpoints == 0);
+    let names = set.sources.iter().map(|source| source.aggregator.clone());
+    if json {
+        let rows: Vec<_> =
+            names.zip(&reports).map(|(name, report)| json!({"aggregator": name, "report": report})).collect();
+        print_json(
+            &json!({"seconds": took, "recorded_seconds": (span.1 - span.0) / 1000.0, "processes": rows}),
+        )?;
+    } else {
+        for (name, report) in names.zip(&reports) {
+            println!(
+                "{name}: {} steps with {} events from {} checkpoints, {} actions compared, {} steps differ, {} skipped",
+                report.steps, report.events, report.checkpoints, report.actions, report.differing, report.skipped
+            );
+            report.unusable.iter().for_each(|why| println!("  a checkpoint was not used: {why}"));
+            if let Some(found) = &report.difference {
+                let query = found.query.map_or(String::new(), |query| format!(", query q{query}"));
+                println!("  first difference at {}{query}", show(found.at));
+                println!("    recorded: {}", found.recorded.as_deref().unwrap_or("nothing more"));
+                println!("    now:      {}", found.now.as_deref().unwrap_or("nothing more"));
+            }
+            for (change, count) in &report.verdicts {
+                println!("  {count:>8}  {change}");
+            }
+        }
+        let faster = (span.1 - span.0) / 1000.0 / took.max(1e-9);
+        println!(
+            "{:.1} s were replayed in {took:.2} s, {faster:.0} times as fast",
+            (span.1 - span.0) / 1000.0
+        );
+        if other.is_some() {
+            println!(
+                "Other settings: events are those that the recorded decisions caused. From the first decision that \
+                 differs on they are no reality."
+            );
+        }
+    }
+    troubled(&set);
+    Ok(if differs { Found::Fault } else { Found::Well })
+}
+
+/// A settings object from a file of its own, or from a configuration file.
+fn read_settings(path: &Path) -> Result<Info, String> {
+    let failed = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|error| failed(&error))?;
+    let value: serde_json::Value = serde_json::from_str(&text).map_err(|error| failed(&error))?;
+    let value = value.get("settings").cloned().unwrap_or(value);
+    let info: Info = serde_json::from_value(value).map_err(|error| failed(&error))?;
+    info.settings().check().map_err(|why| failed(&why))?;
+    Ok(info)
+}
+
+fn why(query: &str, paths: &[PathBuf], json: bool) -> Result<Found, String> {
+    let mut set = open(paths)?;
+    let found = set.find(query).map_err(text)?;
+    if found.is_empty() {
+        troubled(&set);
+        println!("no query of that name is in the trace");
+        return Ok(Found::Fault);
+    }
+    let mut stories = Vec::new();
+    for (source, query) in found {
+        stories.push(story::tell(&mut set, source, query).map_err(text)?);
+    }
+    if json {
+        print_json(&stories)?;
+    } else {
+        for story in &stories {
+            let or = |text: &Option<String>| text.clone().unwrap_or_else(|| "?".into());
+            println!(
+                "{} (q{} at {}), class {}, group {}: {}",
+                or(&story.name),
+                story.query,
+                story.aggregator,
+                or(&story.class),
+                or(&story.group),
+                or(&story.end),
+            );
+            for moment in &story.moments {
+                let part = moment.shard.map_or(String::new(), |shard| format!("part {shard}: "));
+                println!("  {} {:>9.1} ms  {part}{}", show(moment.at), moment.since_ms, moment.what);
+            }
+        }
+    }
+    Ok(troubled(&set))
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -12,6 +12,8 @@
 
 use crate::directory::list::List;
 use crate::settings::Info;
+use crate::trace::recorder::Keep;
+use crate::trace::tape;
 
 /// Descriptors kept for everything else: standard streams, the reactor, listeners, discovery, operators' calls.
 const SPARE_DESCRIPTORS: usize = 64;
@@ -38,6 +40,9 @@
     /// The replicated store; off where it is not set.
     #[serde(default)]
     pub store: Option<Store>,
+    /// The recording of what is seen and decided; without it there can be none.
+    #[serde(default)]
+    pub trace: Option<Trace>,
     /// The source of chance, in hex digits.
     #[serde(default)]
     pub seed: String,
@@ -89,6 +94,50 @@
     pub settings_version: u64,
 }
 
+/// The recording.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Trace {
+    /// The folder of its segments.
+    pub dir: PathBuf,
+    /// Whether it is on from the start; operators switch it on and off.
+    #[serde(default = "yes")]
+    pub on: bool,
+    /// The length from which another segment is begun, in MB.
+    #[serde(default = "segment_mb")]
+    pub segment_mb: f64,
+    /// The age from which another segment is begun, in seconds.
+    #[serde(default = "segment_s")]
+    pub segment_s: f64,
+    /// What all segments of this aggregator may take up, in MB; the oldest go.
+    #[serde(default = "keep_mb")]
+    pub keep_mb: f64,
+}
+
+fn yes() -> bool {
+    true
+}
+
+fn segment_mb() -> f64 {
+    64.0
+}
+
+fn segment_s() -> f64 {
+    600.0
+}
+
+fn keep_mb() -> f64 {
+    1024.0
+}
+
+impl Trace {
+    /// The same, for a recorder.
+    pub fn keep(&self) -> Keep {
+        let bytes = |mb: f64| (mb * 1_048_576.0) as u64;
+        let limits = tape::Limits { bytes: bytes(self.segment_mb), age: self.segment_s * 1000.0 };
+        Keep { dir: self.dir.clone(), limits, most: bytes(self.keep_mb) }
+    }
+}
+
 /// What clients and run stores speak.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -114,13 +163,13 @@
     }
 }
 
-/// The file that the first argument or the environment names.
+/// The file that an argument or the environment names.
 ///
 /// # Errors
 /// Says so if none is named.
-pub fn path() -> Result<PathBuf, String> {
-    let path = env::args_os().nth(1).or_else(|| env::var_os("GW_CONFIG"));
-    path.map(PathBuf::from).ok_or_else(|| "GW_CONFIG is not set, and no file was named".into())
+pub fn path(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    let path = named.or_else(|| env::var_os("GW_CONFIG").map(PathBuf::from));
+    path.ok_or_else(|| "GW_CONFIG is not set, and no file was named".into())
 }
 
 impl Config {
@@ -161,6 +210,7 @@
             ("operator", self.operator != new.operator),
             ("dns_sd", self.dns_sd.is_some() != new.dns_sd.is_some()),
             ("store", peers(self) != peers(new)),
+            ("trace", self.trace != new.trace),
             ("limits", self.limits != new.limits),
             ("api", self.api != new.api),
         ];
@@ -199,6 +249,17 @@
             }
             _ => {}
         }
+        if let Some(trace) = &self.trace {
+            for (key, value, least) in [
+                ("segment_mb", trace.segment_mb, 0.1),
+                ("segment_s", trace.segment_s, 1.0),
+                ("keep_mb", trace.keep_mb, trace.segment_mb),
+            ] {
+                if !(least..=1e9).contains(&value) {
+                    return Err(format!("key trace.{key}: must be {least} to 1000000000"));
+                }
+            }
+        }
         match &self.store {
             Some(store) if !store.listen.ip().is_loopback() => {
                 Err("key store.listen: peers are not authenticated; it must be a loopback address".into())
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -12,11 +12,14 @@
             self.counters.turned_away += 1;
             let verdict = Verdict::Refused { retry_after: self.advice(class) };
             self.counters.answered(&self.classes.at(class).name, &verdict);
+            self.tape_turned_away(now, no, class, &ask, deadline);
             self.orders.push_back(Order::Final { query: no, verdict });
             return;
         }
         let id = Ledger::query_id(no);
-        let tenant = ask.tenant.as_ref().and_then(|name| self.tenants.get(name)).copied();
+        let tenant = ask.tenant.as_ref().and_then(|name| self.tenants.get_key_value(name.as_str()));
+        let (group, tenant) = tenant.map(|(name, at)| (name.clone(), *at)).unzip();
+        self.tape_taken(now, no, class, &ask, deadline);
         self.inbox.push(Event::Query(NewQuery {
             id: id.clone(),
             number: no.0,
@@ -46,7 +49,9 @@
             parts.push(part_id);
         }
         self.ledger.numbers.insert(id, no);
-        let query = Query { client_id: ask.id, class, deadline, partial: ask.partial, text: ask.text, parts };
+        let (client_id, taken) = (ask.id, now);
+        let query =
+            Query { client_id, class, group, taken, deadline, partial: ask.partial, text: ask.text, parts };
         self.ledger.queries.insert(no, query);
     }
 }
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -3,6 +3,7 @@
 use super::ledger::{Ledger, Query};
 use super::{Core, Order, QueryNo, Verdict};
 use crate::api::{Event, Millis, QueryId, Repeat};
+use ironpaddle_trace::record::How;
 
 /// Sums of weights may fall short by this much.
 const SHARE_SLACK: f64 = 0.0001;
@@ -10,7 +11,7 @@
 const WAIT_OF_AIM: f64 = 0.25;
 
 impl Core {
-    pub(super) fn answer(&mut self, id: &QueryId, whole: bool) {
+    pub(super) fn answer(&mut self, now: Millis, id: &QueryId, whole: bool) {
         let Some(no) = self.ledger.numbers.get(id).copied() else { return };
         let Some(query) = self.ledger.queries.get(&no) else { return };
         let class = &self.classes.at(query.class).class;
@@ -21,10 +22,10 @@
         let enough = !pieces.is_empty() && share + SHARE_SLACK >= class.least_share;
         let parts = query.parts.len();
         if enough && (whole || query.partial) {
-            self.close(no, Verdict::Served { whole, pieces, parts });
+            self.close(now, no, Verdict::Served { whole, pieces, parts });
         } else {
             let verdict = self.failed(query.class);
-            self.close(no, verdict);
+            self.close(now, no, verdict);
         }
     }
 
@@ -39,13 +40,13 @@
         Verdict::Failed { retry_after: if safe { self.advice(class) } else { 0.0 } }
     }
 
-    pub(super) fn end(&mut self, id: &QueryId, verdict: Verdict) {
+    pub(super) fn end(&mut self, now: Millis, id: &QueryId, verdict: Verdict) {
         if let Some(no) = self.ledger.numbers.get(id).copied() {
-            self.close(no, verdict);
+            self.close(now, no, verdict);
         }
     }
 
-    fn close(&mut self, no: QueryNo, verdict: Verdict) {
+    fn close(&mut self, now: Millis, no: QueryNo, verdict: Verdict) {
         let Some(query) = self.ledger.queries.get(&no) else { return };
         let unsafe_class = self.classes.at(query.class).class.repeat == Repeat::Unsafe;
         // A refusal says that trying again is harmless: never where an unsafe part may have run.
@@ -56,6 +57,7 @@
             verdict => verdict,
         };
         self.counters.answered(&self.classes.at(query.class).name, &verdict);
+        self.tape_verdict(now, no, super::taped::how(&verdict));
         self.forget(no);
         self.orders.push_back(Order::Final { query: no, verdict });
     }
@@ -70,7 +72,8 @@
     }
 
     /// The client has left: the router is told, and nothing is owed any more.
-    pub fn client_gone(&mut self, no: QueryNo) {
+    pub fn client_gone(&mut self, now: Millis, no: QueryNo) {
+        self.tape_verdict(now, no, How::Left);
         if self.forget(no).is_some() {
             self.counters.clients_gone += 1;
             self.inbox.push(Event::ClientGone(Ledger::query_id(no)));
@@ -87,7 +90,7 @@
             .map(|(no, _)| *no)
             .collect();
         for no in overdue {
-            self.close(no, Verdict::Failed { retry_after: 0.0 });
+            self.close(now, no, Verdict::Failed { retry_after: 0.0 });
             self.inbox.push(Event::ClientGone(Ledger::query_id(no)));
         }
     }
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -10,12 +10,14 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::future;
+use ironpaddle_trace::record::Progress;
 
 use super::legacy::Legacy;
 use super::{Ask, Call, CallEnd, CallNo, Core, News, NotTaken, Order, QueryNo, Verdict};
 use crate::api::{LoadReport, Millis, ReplicaId};
 use crate::counters::{Counters, Gauges};
 use crate::settings::Info;
+use crate::trace::control::Control;
 
 /// A transport to run stores. What it is told takes effect at once; it reports ends to the [`Driver`].
 pub trait RunStores {
@@ -64,6 +66,7 @@
     timers: RefCell<HashMap<CallNo, Task<()>>>,
     stores: OnceCell<Rc<dyn RunStores>>,
     directory: OnceCell<Rc<dyn Directory>>,
+    recording: OnceCell<Control>,
 }
 
 /// Where a query's verdict goes, and the timer of its deadline.
@@ -89,6 +92,7 @@
             timers: RefCell::default(),
             stores: OnceCell::new(),
             directory: OnceCell::new(),
+            recording: OnceCell::new(),
         })
     }
 
@@ -105,7 +109,7 @@
 
     /// The time now, in milliseconds since the Unix epoch; it only runs forward.
     pub fn now(&self) -> Millis {
-        self.origin.0 + self.origin.1.elapsed().as_secs_f64() * 1000.0
+        since(self.origin)
     }
 
     /// A point of the clock as an instant, for timers.
@@ -118,6 +122,60 @@
         change(&mut self.core.borrow_mut().counters);
     }
 
+    /// A request of a class was answered with an error before it became a query.
+    pub fn not_taken(&self, class: &str) {
+        let now = self.now();
+        self.core.borrow_mut().not_taken(now, class);
+    }
+
+    /// An attempt has got so far on its connection.
+    pub fn progress(&self, call: &Call, progress: Progress) {
+        if self.recording.get().is_some() {
+            let now = self.now();
+            self.core.borrow_mut().progress(now, call, progress);
+        }
+    }
+
+    /// Puts in the switch of the recording. Only the first call counts.
+    pub fn set_recording(&self, control: Control) {
+        let _ = self.recording.set(control);
+    }
+
+    /// The switch of the recording, if there is one.
+    pub fn recording(&self) -> Option<&Control> {
+        self.recording.get()
+    }
+
+    /// Switches the recording on or off, if there is one.
+    ///
+    /// # Errors
+    /// If it cannot be switched on.
+    pub fn record(&self, on: bool) -> Result<(), String> {
+        let Some(control) = self.recording.get() else { return Ok(()) };
+        let (origin, now) = (self.origin, self.now());
+        let mut core = self.core.borrow_mut();
+        if on {
+            return control.start(&mut core, move || since(origin));
+        }
+        control.stop(&mut core, now);
+        Ok(())
+    }
+
+    /// Has the recording begin another segment.
+    pub fn rotate(&self) {
+        if let Some(control) = self.recording.get() {
+            control.rotate(&mut self.core.borrow_mut());
+        }
+    }
+
+    /// An operator has called.
+    pub fn note_call(&self, call: &str) {
+        let now = self.now();
+        if let Some(tape) = self.core.borrow_mut().tape() {
+            tape.call(now, call);
+        }
+    }
+
     /// The counts so far.
     pub fn counters(&self) -> Counters {
         let core = self.core.borrow();
@@ -274,6 +332,9 @@
             let now = self.now();
             self.core.borrow_mut().step(now);
             self.carry_out();
+            if let Some(control) = self.recording.get() {
+                control.pump(&mut self.core.borrow_mut(), now);
+            }
         }
     }
 
@@ -343,6 +404,11 @@
     }
 }
 
+/// The time since an origin of the clock, in Unix milliseconds.
+fn since(origin: (Millis, Instant)) -> Millis {
+    origin.0 + origin.1.elapsed().as_secs_f64() * 1000.0
+}
+
 impl Pending {
     /// Waits for the final answer.
     pub async fn verdict(&self) -> Verdict {
@@ -355,7 +421,7 @@
     fn drop(&mut self) {
         let held = self.driver.waiting.borrow_mut().remove(&self.no);
         if held.is_some() {
-            self.driver.core.borrow_mut().client_gone(self.no);
+            self.driver.core.borrow_mut().client_gone(self.driver.now(), self.no);
             self.driver.wake();
         }
     }
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -14,6 +14,10 @@
     pub client_id: String,
     /// Its class, by its place.
     pub class: usize,
+    /// Its group, if the settings name it.
+    pub group: Option<Arc<str>>,
+    /// When it was taken.
+    pub taken: Millis,
     /// When its time is over.
     pub deadline: Millis,
     /// Whether an answer that is not whole is welcome.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,6 +19,7 @@
 pub mod route;
 pub mod send;
 pub mod take_in;
+pub mod taped;
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -27,6 +28,7 @@
 use crate::api::{Event, Millis, Outcome, ReplicaId, ReplicaState, Settings};
 use crate::counters::{Counters, Gauges};
 use crate::settings::Info;
+use crate::trace::tape::{InForce, Tape};
 use crate::Router;
 use classes::Classes;
 use hand::Hand;
@@ -129,6 +131,8 @@
     pub query: String,
     /// The class's name.
     pub class: Arc<str>,
+    /// The number of its query, and its own among the part's attempts.
+    pub of: (QueryNo, u32),
     /// The shard.
     pub shard: u32,
     /// The time at which the core stops waiting.
@@ -227,8 +231,11 @@
     router: Router,
     classes: Classes,
     /// The places of tenants by their names.
-    tenants: BTreeMap<String, usize>,
+    tenants: BTreeMap<Arc<str>, usize>,
     settings: Settings,
+    info: Info,
+    /// The recording, if one is on.
+    tape: Option<Box<Tape>>,
     max_open: usize,
     /// Queries and parts that another process of this aggregator holds.
     held_elsewhere: usize,
@@ -256,6 +263,8 @@
             classes: Classes::default(),
             tenants: BTreeMap::new(),
             settings: Settings::default(),
+            info: info.clone(),
+            tape: None,
             max_open: 0,
             held_elsewhere: 0,
             shards: None,
@@ -285,11 +294,13 @@
         for name in self.classes.names() {
             self.counters.classes.entry(name.clone()).or_default();
         }
-        self.tenants = info.names().tenants;
+        self.tenants = info.names().tenants.into_iter().map(|(name, at)| (name.into(), at)).collect();
         self.settings = settings;
+        self.info = info.clone();
         self.max_open = info.caps.max_open() as usize;
         self.shards = info.domain.shards;
         self.probe_timeout = info.caps.connect_timeout_ms();
+        self.tape_settings();
         Ok(())
     }
 
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -7,13 +7,19 @@
 impl Core {
     /// Hands the router all that happened by `now` and carries out what it says.
     pub fn step(&mut self, now: Millis) {
+        self.tape_segment(now);
         self.end_overdue(now);
         if self.wake.is_some_and(|at| at <= now) {
             self.wake = None;
             self.inbox.push(Event::Wake);
         }
         let events = std::mem::take(&mut self.inbox);
-        for action in self.router.step(now, events) {
+        let noted = self.tape.as_mut().map(|tape| tape.events(now, &events));
+        let actions = self.router.step(now, events);
+        if let Some((tape, noted)) = self.tape.as_mut().zip(noted) {
+            tape.step(now, noted, &actions);
+        }
+        for action in actions {
             self.act(now, action);
         }
     }
@@ -22,9 +28,9 @@
         match action {
             Action::Send { part, replica, timeout } => self.send(now, part, replica, timeout),
             Action::Cancel { part, attempt } => self.cancel(now, &part, attempt),
-            Action::Answer { query, whole } => self.answer(&query, whole),
-            Action::Refuse { query, retry_after } => self.end(&query, Verdict::Refused { retry_after }),
-            Action::Fail { query, retry_after } => self.end(&query, Verdict::Failed { retry_after }),
+            Action::Answer { query, whole } => self.answer(now, &query, whole),
+            Action::Refuse { query, retry_after } => self.end(now, &query, Verdict::Refused { retry_after }),
+            Action::Fail { query, retry_after } => self.end(now, &query, Verdict::Failed { retry_after }),
             Action::Probe { replica } => self.probe(replica),
             Action::CloseIdle { replica } => self.orders.push_back(Order::CloseIdle(replica)),
             Action::Subscribe => self.orders.push_back(Order::Watch),
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -11,13 +11,13 @@
         let attempt = Attempt(record.attempts);
         record.attempts += 1;
         record.out += 1;
-        let (query, shard) = (record.query, record.shard);
+        let (of, shard) = (record.query, record.shard);
         let no = CallNo(self.ledger.number());
         let out = Out { part: part.clone(), attempt, replica: replica.clone(), sent: now };
         self.ledger.out.insert(no, out);
         self.ledger.calls.insert((part, attempt), no);
         let active = |id| self.ledger.places.get(id).is_some_and(|p| p.replica.state == ReplicaState::Active);
-        let Some(query) = self.ledger.queries.get(&query).filter(|_| active(&replica)) else {
+        let Some(query) = self.ledger.queries.get(&of).filter(|_| active(&replica)) else {
             self.call_ended(now, no, CallEnd::bare(Outcome::NotSent));
             return;
         };
@@ -29,6 +29,7 @@
             part: format!("{}.{shard}", query.client_id),
             query: query.client_id.clone(),
             class: self.classes.at(query.class).name.clone(),
+            of: (of, attempt.0),
             shard,
             until,
             text: query.text.clone(),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
+use crate::hash::{hash, mix};
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
@@ -91,6 +92,7 @@
 struct Faded(f64, Millis);
 
 /// A part sent and not yet ended, or ended after its query.
+#[derive(Serialize, Deserialize)]
 struct Flight {
     server: ServerNo,
     class: usize,
@@ -103,7 +105,7 @@
     overtaken: u32,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Part {
     id: PartId,
     shard: Shard,
@@ -122,7 +124,7 @@
     last_sent: Millis,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Query {
     id: QueryId,
     class: usize,
@@ -166,8 +168,8 @@
     died: Option<Millis>,
 }
 
-/// The decisions of one router. See [`Router::step`].
-#[derive(Default)]
+/// The decisions of one router. See [`Router::step`]. Written down and read again, it goes on as it was.
+#[derive(Default, Serialize, Deserialize)]
 pub struct Router {
     s: Settings,
     min_aim: Millis,
@@ -192,6 +194,7 @@
     ask_at: Millis,
     asks: u32,
     wake: Option<Millis>,
+    #[serde(skip)]
     actions: Vec<Action>,
 }
 
@@ -217,16 +220,6 @@
     budget: Vec<(Millis, bool)>,
 }
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-fn hash(text: &str) -> u64 {
-    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)))
-}
-
 fn blend(old: Option<f64>, new: f64) -> f64 {
     old.map_or(new, |old| old + SMOOTH * (new - old))
 }
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -45,7 +45,7 @@
     }
 
     fn refuse(&self, index: &str, Refusal(status, kind, why): Refusal) -> Response {
-        self.driver.count(|counters| counters.not_taken(index));
+        self.driver.not_taken(index);
         error(status, kind, &why)
     }
 
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -88,7 +88,7 @@
     }
 
     fn refuse(&self, class: &str, status: u16, why: &str) -> Response {
-        self.driver.count(|counters| counters.not_taken(class));
+        self.driver.not_taken(class);
         Response::text(status, why)
     }
 }
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -43,6 +43,9 @@
     pub legacy: Legacy,
     /// Whether operators want no clients.
     pub shut: bool,
+    /// Whether it was recording; a process of an older version does not say.
+    #[serde(default)]
+    pub recording: Option<bool>,
     /// What the replicated store holds.
     pub entries: Vec<Entry>,
     /// What the old process holds by now.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub struct Readme;
 
 pub mod api;
+pub mod cli;
 pub mod config;
 pub mod core;
 pub mod counters;
@@ -19,6 +20,7 @@
 pub mod directory;
 pub mod front;
 pub mod handover;
+pub mod hash;
 pub mod http;
 pub mod log;
 pub mod operator;
@@ -26,6 +28,7 @@
 #[allow(missing_docs)] // Its fields have the names that the settings object gives them.
 pub mod settings;
 pub mod store;
+pub mod trace;
 pub mod transport;
 
 pub use decide::Router;
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,5 +1,6 @@
 //! The log: lines on standard error.
 
+use std::cell::RefCell;
 use std::fmt;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -75,6 +76,18 @@
     }
 }
 
+/// Who else hears of connections that ended: what it was, the peer, the reason's code, the note.
+type Watcher = Box<dyn Fn(&str, &str, &str, &str)>;
+
+thread_local! {
+    static WATCHER: RefCell<Option<Watcher>> = const { RefCell::new(None) };
+}
+
+/// Has somebody hear of the connections of this thread that end, or nobody any more.
+pub fn watch(watcher: Option<Watcher>) {
+    WATCHER.with_borrow_mut(|known| *known = watcher);
+}
+
 /// Writes a line. A log that cannot be written is no reason to stop.
 pub fn line(text: &str) {
     let _ = writeln!(std::io::stderr().lock(), "{text}");
@@ -83,5 +96,10 @@
 /// The one line of a connection that ended.
 pub fn ended(kind: &str, peer: Option<SocketAddr>, reason: Reason, note: impl fmt::Display) {
     let peer = peer.map_or_else(|| "-".to_string(), |peer| peer.to_string());
+    WATCHER.with_borrow(|watcher| {
+        if let Some(watcher) = watcher {
+            watcher(kind, &peer, reason.code(), &note.to_string());
+        }
+    });
     line(&format!("end {kind} {peer} code={} {note}", reason.code()));
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,14 +2,6 @@
 
 use std::process::ExitCode;
 
-use ironpaddle::{config, service};
-
 fn main() -> ExitCode {
-    match config::path().and_then(|path| service::run(&path)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("ironpaddle: {message}");
-            ExitCode::FAILURE
-        }
-    }
+    ironpaddle::cli::main()
 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -55,7 +55,15 @@
             ("PUT", ["run-stores", id, "ready"]) => self.by_hand(id, false),
             ("PUT", ["healthcheck", "fail"]) => self.turn(true, "draining"),
             ("PUT", ["healthcheck", "ok"]) => self.turn(false, "ready"),
-            (_, ["healthcheck"] | ["stats"]) => wrong_method("GET"),
+            ("GET", ["trace"]) => self.trace(|_| Ok(())),
+            ("PUT", ["trace", "start"]) => self.trace(|driver| driver.record(true)),
+            ("PUT", ["trace", "stop"]) => self.trace(|driver| driver.record(false)),
+            ("PUT", ["trace", "rotate"]) => self.trace(|driver| {
+                driver.rotate();
+                Ok(())
+            }),
+            (_, ["trace", "start" | "stop" | "rotate"]) => wrong_method("PUT"),
+            (_, ["healthcheck"] | ["stats"] | ["trace"]) => wrong_method("GET"),
             (_, ["healthcheck", "fail" | "ok"] | ["run-stores", _, "maint" | "ready"]) => wrong_method("PUT"),
             _ => Response::text(404, "no such call"),
         }
@@ -65,6 +73,20 @@
         counters::stats(&self.driver.counters(), &self.driver.gauges())
     }
 
+    /// The recording: what to do with it, and then how it stands, as JSON.
+    fn trace(&self, act: impl FnOnce(&Rc<Driver>) -> Result<(), String>) -> Response {
+        let Some(control) = self.driver.recording() else {
+            return Response::text(409, "the configuration has no key trace");
+        };
+        if let Err(why) = act(&self.driver) {
+            return Response::text(500, &why);
+        }
+        match serde_json::to_vec(&control.standing()) {
+            Ok(body) => Response::new(200, "application/json", body),
+            Err(why) => Response::text(500, &why.to_string()),
+        }
+    }
+
     fn by_hand(&self, id: &str, out: bool) -> Response {
         let (at, id) = (self.driver.now(), ReplicaId::from(id));
         if !self.driver.by_hand(at, &id, out) {
@@ -95,7 +117,11 @@
 
 impl Handler for Operator {
     fn handle(&self, request: Message) -> Local<Response> {
-        let response = self.call(&request.start.0, &request.start.1);
+        let (method, target) = (&request.start.0, &request.start.1);
+        if method == "PUT" {
+            self.driver.note_call(target);
+        }
+        let response = self.call(method, target);
         Box::pin(async move { response })
     }
 
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -86,6 +86,7 @@
         }
     };
     future::or(drained, future::or(last, signals)).await;
+    program.end_recording().await;
     log::line(&format!("counters {}", program.driver.counters()));
     Ok(())
 }
--- a/src/service/program.rs
+++ b/src/service/program.rs
@@ -11,6 +11,7 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use futures_lite::future;
+use ironpaddle_trace::file::Source;
 
 use super::reload::Reloads;
 use crate::api::{Millis, ReplicaId};
@@ -30,6 +31,7 @@
 use crate::settings::Info;
 use crate::store::peers::Peers;
 use crate::store::{self, Store};
+use crate::trace::control::Control;
 use crate::transport;
 use crate::transport::frames::Frames;
 use crate::transport::opensearch::Searches;
@@ -37,6 +39,8 @@
 /// How long a start waits for the peers of the store.
 const PEERS_WAIT: Duration = Duration::from_millis(2000);
 const LOOK_EVERY: Duration = Duration::from_millis(10);
+/// How long the end waits for the disk to take what was recorded last.
+const DISK_WAIT: Duration = Duration::from_millis(1000);
 const KEEP_DIRECTORY_EVERY: Duration = Duration::from_millis(500);
 /// Descriptors that are no client's and no run store's: standard streams, the reactor, listeners, discovery.
 const OTHER_DESCRIPTORS: usize = 24;
@@ -85,6 +89,14 @@
             });
         }
         let driver = Driver::new(core, executor.clone());
+        if let Some(trace) = &config.trace {
+            driver.set_recording(Control::new(trace.keep(), source(&config, driver.now())));
+            // As it was in the process that hands over: operators may have switched it there.
+            let on = state.as_ref().and_then(|state| state.recording).unwrap_or(trace.on);
+            if on {
+                driver.record(true).map_err(|why| format!("key trace.dir: {why}"))?;
+            }
+        }
         let limits = transport::Limits::of(&info, config.store_connections(0));
         let stores: Rc<dyn RunStores> = match config.api {
             Api::Platform => Rc::new(Frames::new(driver.clone(), limits)),
@@ -143,6 +155,21 @@
         drop(self.listener.take());
     }
 
+    /// Ends the recording, and waits a moment for the disk.
+    pub async fn end_recording(&self) {
+        // Only switching it on can fail.
+        let _ = self.driver.record(false);
+        let written = async {
+            while self.driver.recording().is_some_and(|control| !control.is_done()) {
+                Timer::after(LOOK_EVERY).await;
+            }
+        };
+        future::or(written, async {
+            Timer::after(DISK_WAIT).await;
+        })
+        .await;
+    }
+
     /// Whether nothing is left that a client waits for.
     pub fn is_done(&self) -> bool {
         self.driver.open_queries() == 0 && self.server.open() == 0
@@ -169,6 +196,7 @@
             discovery: self.reloads.discovery(),
             legacy: self.driver.legacy(),
             shut: self.door.is_shut_by_hand(),
+            recording: self.driver.recording().map(Control::is_on),
             entries: self.store.as_ref().map(|(store, _)| store.entries()).unwrap_or_default(),
             held: self.held(),
         }
@@ -203,6 +231,18 @@
     }
 }
 
+/// What a trace says of this process.
+fn source(config: &Config, now: Millis) -> Source {
+    Source {
+        aggregator: config.name.clone(),
+        started: now as u64,
+        process: std::process::id(),
+        seed: config.seed(),
+        program: env!("CARGO_PKG_VERSION").to_string(),
+        settings: String::new(),
+    }
+}
+
 /// A listener at an address: the one that was handed over, or a new one.
 async fn listen(key: &str, address: SocketAddr, passed: Option<OwnedFd>) -> Result<TcpListener, String> {
     let failed = |error: std::io::Error| format!("key {key}: {address}: {error}");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,12 +6,12 @@
 
 use std::collections::BTreeMap;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::api;
 
 /// The whole object.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Info {
     pub request_classes: Vec<InfoClass>,
     #[serde(default)]
@@ -36,7 +36,7 @@
 }
 
 /// A class of query.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct InfoClass {
     pub name: String,
     pub aim_ms: f64,
@@ -59,7 +59,7 @@
 }
 
 /// Whether parts of a class may be repeated.
-#[derive(Debug, Clone, Deserialize, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum InfoRepeat {
     ReadLike,
@@ -68,7 +68,7 @@
 }
 
 /// What the site permits. A limit that is absent or null has the default of its method.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Caps {
     pub keepalive_ms: Option<f64>,
@@ -109,7 +109,7 @@
 }
 
 /// How shards lie over run stores, and what answers need.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Domain {
     pub cells: u32,
     pub width: u32,
@@ -139,7 +139,7 @@
 }
 
 /// A tenant.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Realm {
     pub name: String,
     #[serde(default)]
@@ -147,7 +147,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Debug, Clone, Deserialize, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Rules {
     pub cold_from: Option<f64>,
--- /dev/null
+++ b/src/trace/control.rs
@@ -0,0 +1,137 @@
+//! A recording switched on and off: what ties the tape in the core to the thread that writes.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use ironpaddle_trace::file::Source;
+use ironpaddle_trace::keep::Job;
+
+use super::recorder::{Keep, Recorder, Standing};
+use super::tape::Tape;
+use crate::api::Millis;
+use crate::core::Core;
+use crate::log;
+
+/// Ends of connections that wait for being recorded; more are not kept.
+const MOST_CLOSED: usize = 4096;
+
+/// The end of a connection: when, to what, whose address, the reason's code, and what else is said of it.
+type Closed = (Millis, String, String, String, String);
+
+/// The switch.
+pub struct Control {
+    keep: Keep,
+    source: Source,
+    recorder: RefCell<Option<Recorder>>,
+    closed: Rc<RefCell<Vec<Closed>>>,
+    /// The number of the next segment.
+    segment: Cell<u64>,
+    lost: Cell<u64>,
+}
+
+impl Control {
+    /// A switch that is off, for one process.
+    pub fn new(keep: Keep, source: Source) -> Self {
+        let (recorder, closed) = (RefCell::default(), Rc::default());
+        Control { keep, source, recorder, closed, segment: Cell::new(0), lost: Cell::new(0) }
+    }
+
+    /// Whether it is on.
+    pub fn is_on(&self) -> bool {
+        self.recorder.borrow().as_ref().is_some_and(|recorder| recorder.standing().recording)
+    }
+
+    /// Switches it on; nothing changes if it is.
+    ///
+    /// # Errors
+    /// If the folder cannot be made.
+    pub fn start(&self, core: &mut Core, clock: impl Fn() -> Millis + 'static) -> Result<(), String> {
+        if self.is_on() {
+            return Ok(());
+        }
+        let recorder =
+            Recorder::start(&self.keep).map_err(|why| format!("{}: {why}", self.keep.dir.display()))?;
+        *self.recorder.borrow_mut() = Some(recorder);
+        let tape = Tape::new(self.source.clone(), self.keep.limits, self.segment.get());
+        core.record(clock(), Some(tape));
+        let closed = self.closed.clone();
+        log::watch(Some(Box::new(move |kind, peer, code, note| {
+            let mut closed = closed.borrow_mut();
+            if closed.len() < MOST_CLOSED {
+                closed.push((clock(), kind.into(), peer.into(), code.into(), note.into()));
+            }
+        })));
+        Ok(())
+    }
+
+    /// Switches it off, in good order.
+    pub fn stop(&self, core: &mut Core, now: Millis) {
+        self.pump(core, now);
+        core.tape_last(now);
+        self.pump(core, now);
+        if let Some(tape) = core.record(now, None) {
+            self.segment.set(tape.next_segment());
+        }
+        if let Some(recorder) = &mut *self.recorder.borrow_mut() {
+            recorder.finish();
+        }
+        log::watch(None);
+    }
+
+    /// Has a new segment begun.
+    pub fn rotate(&self, core: &mut Core) {
+        if let Some(tape) = core.tape() {
+            tape.rotate();
+        }
+    }
+
+    /// Hands over what is to be written.
+    pub fn pump(&self, core: &mut Core, now: Millis) {
+        core.tape_due(now);
+        let Some(tape) = core.tape() else { return };
+        for (at, kind, peer, code, note) in self.closed.take() {
+            tape.closed(at, &kind, &peer, &code, &note);
+        }
+        if !tape.tick(now) {
+            return;
+        }
+        let mut recorder = self.recorder.borrow_mut();
+        let Some(recorder) = &mut *recorder else { return };
+        if let Some(records) = recorder.failed() {
+            self.lose(tape, now, now, records);
+        }
+        while let Some(job) = tape.next_job() {
+            let from = first(&job).unwrap_or(now);
+            let records = recorder.take(job);
+            if records > 0 {
+                self.lose(tape, now, from, records);
+            }
+        }
+        tape.grown(recorder.size());
+    }
+
+    fn lose(&self, tape: &mut Tape, now: Millis, from: Millis, records: u64) {
+        let before = tape.untold();
+        tape.lost(now, from, records);
+        self.lost.set(self.lost.get() + tape.untold() - before);
+    }
+
+    /// How it stands.
+    pub fn standing(&self) -> Standing {
+        let standing = self.recorder.borrow().as_ref().map(Recorder::standing).unwrap_or_default();
+        Standing { lost: self.lost.get(), ..standing }
+    }
+
+    /// Whether all is written, after [`Control::stop`].
+    pub fn is_done(&self) -> bool {
+        self.recorder.borrow().as_ref().is_none_or(Recorder::is_done)
+    }
+}
+
+/// When the first entry of a job was made.
+fn first(job: &Job) -> Option<Millis> {
+    match job {
+        Job::Open(_, batch) | Job::Add(batch) => Some(batch.first()),
+        Job::Close => None,
+    }
+}
--- /dev/null
+++ b/src/trace/convert.rs
@@ -0,0 +1,249 @@
+//! From the interface of the decision module to the records of a trace, and back without loss.
+//!
+//! The core names queries `qN` and parts `qN.SHARD`, so that numbers stand for both; see [`query_id`] and [`part_id`].
+
+use std::sync::Arc;
+
+use ironpaddle_trace::block::{Batch, Block};
+use ironpaddle_trace::num::Num;
+use ironpaddle_trace::record::{self, Kind, Line, ListKind, Load, Standing};
+
+use crate::api::{
+    self, Action, Attempt, AttemptEnded, ClassIndex, Event, ListNews, LoadReport, Millis, NewPart, NewQuery,
+    Outcome, PartId, QueryId, Replica, ReplicaId, ReplicaState, Shard, TenantIndex,
+};
+
+/// The module's name of a query.
+pub fn query_id(no: u64) -> QueryId {
+    QueryId(Arc::from(format!("q{no}")))
+}
+
+/// The module's name of a part.
+pub fn part_id(no: u64, shard: u32) -> PartId {
+    PartId(Arc::from(format!("q{no}.{shard}")))
+}
+
+/// The number of a query, by its module's name.
+fn number(id: &QueryId) -> u64 {
+    id.0.get(1..).and_then(|no| no.parse().ok()).unwrap_or(0)
+}
+
+/// The query and shard of a part, by its module's name.
+fn place(id: &PartId) -> (u64, u32) {
+    let words = id.0.get(1..).and_then(|text| text.split_once('.'));
+    words.and_then(|(no, shard)| Some((no.parse().ok()?, shard.parse().ok()?))).unwrap_or((0, 0))
+}
+
+fn outcome_out(outcome: Outcome) -> record::Outcome {
+    match outcome {
+        Outcome::Completed => record::Outcome::Completed,
+        Outcome::Errored => record::Outcome::Errored,
+        Outcome::Rejected => record::Outcome::Rejected,
+        Outcome::TimedOut => record::Outcome::TimedOut,
+        Outcome::ConnectFailed => record::Outcome::ConnectFailed,
+        Outcome::Reset => record::Outcome::Reset,
+        Outcome::Cancelled => record::Outcome::Cancelled,
+        Outcome::NotSent => record::Outcome::NotSent,
+    }
+}
+
+fn outcome_in(outcome: record::Outcome) -> Outcome {
+    match outcome {
+        record::Outcome::Completed => Outcome::Completed,
+        record::Outcome::Errored => Outcome::Errored,
+        record::Outcome::Rejected => Outcome::Rejected,
+        record::Outcome::TimedOut => Outcome::TimedOut,
+        record::Outcome::ConnectFailed => Outcome::ConnectFailed,
+        record::Outcome::Reset => Outcome::Reset,
+        record::Outcome::Cancelled => Outcome::Cancelled,
+        record::Outcome::NotSent => Outcome::NotSent,
+    }
+}
+
+fn load_out(load: &LoadReport) -> Load {
+    Load {
+        queue: load.queue.map(Num::of),
+        in_flight: load.in_flight.map(Num::of),
+        utilization: load.utilization.map(Num::of),
+        throughput: load.throughput.map(Num::of),
+    }
+}
+
+fn load_in(load: &Load) -> LoadReport {
+    LoadReport {
+        queue: load.queue.map(Num::value),
+        in_flight: load.in_flight.map(Num::value),
+        utilization: load.utilization.map(Num::value),
+        throughput: load.throughput.map(Num::value),
+    }
+}
+
+fn line_out(batch: &mut Batch, line: &Replica) -> Line {
+    Line {
+        run_store: batch.name(Kind::RunStore, &line.id.0),
+        zone: line.zone.to_string(),
+        cell: line.cell,
+        standing: match line.state {
+            ReplicaState::Active => Standing::Active,
+            ReplicaState::Draining => Standing::Draining,
+            ReplicaState::Gone => Standing::Gone,
+        },
+        weight: Num::of(line.weight),
+        started: line.started.map(Num::of),
+    }
+}
+
+fn line_in(block: &Block, line: &Line) -> Replica {
+    Replica {
+        id: ReplicaId::from(block.text(line.run_store)),
+        zone: line.zone.as_str().into(),
+        cell: line.cell,
+        state: match line.standing {
+            Standing::Active => ReplicaState::Active,
+            Standing::Draining => ReplicaState::Draining,
+            Standing::Gone => ReplicaState::Gone,
+        },
+        weight: line.weight.value(),
+        started: line.started.map(Num::value),
+    }
+}
+
+/// An event as a record. Keys are kept only where routing goes by them.
+pub fn event_out(batch: &mut Batch, now: Millis, event: &Event, keys: bool) -> record::Event {
+    let key = |batch: &mut Batch, key: &Option<Arc<str>>| {
+        key.as_ref().filter(|_| keys).map(|key| batch.name(Kind::Key, key))
+    };
+    match event {
+        Event::List(news) => {
+            let (kind, lines) = match news {
+                ListNews::Cached(lines) => (ListKind::Cached, lines.as_slice()),
+                ListNews::Full(lines) => (ListKind::Full, lines.as_slice()),
+                ListNews::Changes(lines) => (ListKind::Changes, lines.as_slice()),
+                ListNews::Broken => (ListKind::Broken, &[][..]),
+            };
+            record::Event::List(kind, lines.iter().map(|line| line_out(batch, line)).collect())
+        }
+        Event::Query(new) => record::Event::Query {
+            query: new.number,
+            class: new.class.0 as u32,
+            group: new.tenant.map(|TenantIndex(at)| at as u32),
+            key: key(batch, &new.key),
+            arrived: Num::since(now, new.arrived),
+            deadline: Num::since(now, new.deadline),
+            parts: new.parts,
+            retry: new.client_retry,
+        },
+        Event::Part(new) => record::Event::Part {
+            query: new.query,
+            shard: new.shard.0,
+            weight: Num::of(new.weight),
+            hint: new.cost_hint.map(Num::of),
+            key: key(batch, &new.key),
+        },
+        Event::AttemptEnded(end) => {
+            let (query, shard) = place(&end.part);
+            record::Event::Ended {
+                query,
+                shard,
+                attempt: end.attempt.0,
+                run_store: batch.name(Kind::RunStore, &end.replica.0),
+                outcome: outcome_out(end.outcome),
+                latency: Num::of(end.latency),
+                load: end.load.as_ref().map(load_out),
+            }
+        }
+        Event::ProbeEnded { replica, ok, load } => record::Event::Probe {
+            run_store: batch.name(Kind::RunStore, &replica.0),
+            ok: *ok,
+            load: load.as_ref().map(load_out),
+        },
+        Event::ClientGone(id) => record::Event::Gone(number(id)),
+        Event::Wake => record::Event::Wake,
+    }
+}
+
+/// The event that a record was made of.
+pub fn event_in(block: &Block, now: Millis, event: &record::Event) -> Event {
+    let text = |name: &record::Name| Arc::from(block.text(*name));
+    match event {
+        record::Event::List(kind, lines) => {
+            let lines = lines.iter().map(|line| line_in(block, line)).collect();
+            Event::List(match kind {
+                ListKind::Cached => ListNews::Cached(lines),
+                ListKind::Full => ListNews::Full(lines),
+                ListKind::Changes => ListNews::Changes(lines),
+                ListKind::Broken => ListNews::Broken,
+            })
+        }
+        record::Event::Query { query, class, group, key, arrived, deadline, parts, retry } => {
+            Event::Query(NewQuery {
+                id: query_id(*query),
+                number: *query,
+                class: ClassIndex(*class as usize),
+                tenant: group.map(|at| TenantIndex(at as usize)),
+                key: key.as_ref().map(text),
+                arrived: arrived.after(now),
+                deadline: deadline.after(now),
+                parts: *parts,
+                client_retry: *retry,
+            })
+        }
+        record::Event::Part { query, shard, weight, hint, key } => Event::Part(NewPart {
+            id: part_id(*query, *shard),
+            query: *query,
+            shard: Shard(*shard),
+            weight: weight.value(),
+            cost_hint: hint.map(Num::value),
+            key: key.as_ref().map(text),
+        }),
+        record::Event::Ended { query, shard, attempt, run_store, outcome, latency, load } => {
+            Event::AttemptEnded(AttemptEnded {
+                part: part_id(*query, *shard),
+                attempt: Attempt(*attempt),
+                replica: ReplicaId::from(block.text(*run_store)),
+                outcome: outcome_in(*outcome),
+                latency: latency.value(),
+                load: load.as_ref().map(load_in),
+            })
+        }
+        record::Event::Probe { run_store, ok, load } => Event::ProbeEnded {
+            replica: ReplicaId::from(block.text(*run_store)),
+            ok: *ok,
+            load: load.as_ref().map(load_in),
+        },
+        record::Event::Gone(query) => Event::ClientGone(query_id(*query)),
+        record::Event::Wake => Event::Wake,
+    }
+}
+
+/// An action as a record.
+pub fn action_out(batch: &mut Batch, now: Millis, action: &Action) -> record::Action {
+    match action {
+        Action::Send { part, replica, timeout } => {
+            let (query, shard) = place(part);
+            let run_store = batch.name(Kind::RunStore, &replica.0);
+            record::Action::Send { query, shard, run_store, timeout: Num::of(*timeout) }
+        }
+        Action::Cancel { part, attempt } => {
+            let (query, shard) = place(part);
+            record::Action::Cancel { query, shard, attempt: attempt.0 }
+        }
+        Action::Answer { query, whole } => record::Action::Answer { query: number(query), whole: *whole },
+        Action::Refuse { query, retry_after } => {
+            record::Action::Refuse { query: number(query), retry_after: Num::of(*retry_after) }
+        }
+        Action::Fail { query, retry_after } => {
+            record::Action::Fail { query: number(query), retry_after: Num::of(*retry_after) }
+        }
+        Action::Probe { replica } => record::Action::Probe(batch.name(Kind::RunStore, &replica.0)),
+        Action::CloseIdle { replica } => record::Action::CloseIdle(batch.name(Kind::RunStore, &replica.0)),
+        Action::Subscribe => record::Action::Subscribe,
+        Action::WakeAt(at) => record::Action::WakeAt(Num::since(now, *at)),
+        Action::Log(text) => record::Action::Log(text.clone()),
+    }
+}
+
+/// Settings for the module, as a record keeps them.
+pub fn settings_out(settings: &api::Settings) -> Vec<u8> {
+    postcard::to_stdvec(settings).unwrap_or_default()
+}
--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -200,11 +200,7 @@
                         }
                     }
                 }
-                let calls = self.writing.iter().filter_map(|item| match item {
-                    Item::Call(no) => self.calls.get(no).map(|held| &held.call),
-                    _ => None,
-                });
-                Some(codec::call(calls.map(|call| Part {
+                Some(codec::call(self.writing().map(|call| Part {
                     id: &call.part,
                     shard: call.shard,
                     wait: wait(call),
@@ -214,6 +210,14 @@
         }
     }
 
+    /// The calls of the frame that is being written.
+    pub fn writing(&self) -> impl Iterator<Item = &Call> {
+        self.writing.iter().filter_map(|item| match item {
+            Item::Call(no) => self.calls.get(no).map(|held| &held.call),
+            _ => None,
+        })
+    }
+
     /// The last byte of the frame is written; says how many attempts that makes.
     pub fn written(&mut self, now: Instant) -> usize {
         let mut attempts = 0;
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -14,6 +14,8 @@
 use async_io::Timer;
 use futures_lite::future;
 
+use ironpaddle_trace::record::Progress;
+
 use crate::api::{Millis, Outcome, ReplicaId};
 use crate::core::drive::{Driver, RunStores};
 use crate::core::{Call, CallEnd, CallNo};
@@ -267,9 +269,13 @@
                 write::request("POST", &target, &host, &headers, &call.text[cut + 1..])
             }
         };
+        if let Job::Search(call) = job {
+            self.driver.progress(call, Progress::Begun);
+        }
         client.write(&request).await?;
         worker.stage.set(Stage::Written(job.no()));
-        if matches!(job, Job::Search(_)) {
+        if let Job::Search(call) = job {
+            self.driver.progress(call, Progress::Written);
             self.driver.count(|counters| counters.tries += 1);
         }
         client.read().await
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -84,7 +84,7 @@
     let query = core.take_in(0.0, ask("search", 2)).unwrap();
     core.step(5.0);
     let sent = calls(&orders(&mut core));
-    core.client_gone(query);
+    core.client_gone(10.0, query);
     core.step(10.0);
     let orders = orders(&mut core);
     assert!(finals(&orders).is_empty());
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -103,7 +103,7 @@
             Step::Leave(which) if !seen.open.is_empty() => {
                 let no = *seen.open.keys().nth(which % seen.open.len()).unwrap();
                 seen.open.remove(&no);
-                core.client_gone(no);
+                core.client_gone(now, no);
             }
             Step::Pass(time) => now += time,
             Step::End(..) | Step::Leave(_) => {}
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -42,6 +42,7 @@
         part: format!("q{no}.0"),
         query: format!("q{no}"),
         class: "c".into(),
+        of: (ironpaddle::core::QueryNo(no), 0),
         shard: 0,
         until: 0.0,
         text: Rc::from(&b"text"[..]),
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod operator;
 mod settings;
 mod stand_in;
+mod trace;
 mod upgrade;
 
 use std::io::{Read, Write};
--- /dev/null
+++ b/tests/sockets/trace.rs
@@ -0,0 +1,192 @@
+//! Recordings of the real program: what the command line says of them equals what the clients saw.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use crate::aggregator::Aggregator;
+use crate::stand_in::{Act, WIRES};
+
+/// A folder for segments.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        static MADE: AtomicUsize = AtomicUsize::new(0);
+        let number = MADE.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("ironpaddle-trace-{}-{number}", std::process::id()));
+        std::fs::create_dir(&path).unwrap();
+        Folder(path)
+    }
+
+    fn tool(&self, words: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ironpaddle"));
+        command.arg("trace").args(words).arg(&self.0).output().unwrap()
+    }
+
+    fn json(&self, words: &[&str]) -> Value {
+        let output = self.tool(words);
+        assert!(output.status.success(), "{output:?}");
+        serde_json::from_slice(&output.stdout).unwrap()
+    }
+
+    fn files(&self) -> usize {
+        std::fs::read_dir(&self.0).unwrap().count()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn key(folder: &Folder, config: &mut Value, on: bool) {
+    config["trace"] = json!({"dir": folder.0, "on": on});
+    config["settings"]["realms"] = json!([{"name": "vaal-muon", "quota_per_s": 8.0}]);
+}
+
+fn end(mut aggregator: Aggregator) {
+    aggregator.signal("TERM");
+    assert!(aggregator.wait().success());
+}
+
+#[test]
+fn a_recording_tells_what_the_clients_saw_and_replays() {
+    for wire in WIRES {
+        let folder = Folder::new();
+        let aggregator = Aggregator::changed(wire, 2, |config, _| key(&folder, config, true));
+        for shards in [&[0][..], &[0, 1, 2, 3]] {
+            assert!(aggregator.ask("run-lookup", shards, 4000).whole());
+        }
+        for store in [0, 1] {
+            aggregator.board.act(store, Act::Error);
+        }
+        assert_eq!(aggregator.ask("shift-entry", &[1], 4000).status, 500);
+        let stats = aggregator.call("GET", "/stats").body;
+        assert!(stats.contains("run-lookup.ok:2|c") && stats.contains("shift-entry.errors:1|c"), "{stats}");
+        let standing = aggregator.call("GET", "/trace").json();
+        assert_eq!((&standing["recording"], &standing["lost"]), (&json!(true), &json!(0)));
+        end(aggregator);
+
+        let summary = folder.json(&["summary", "--json"]);
+        let of = |class: &str, end: &str| summary["classes"][class][end].as_u64().unwrap();
+        assert_eq!(
+            (of("run-lookup", "answered"), of("run-lookup", "taken"), of("run-lookup", "failed")),
+            (2, 2, 0)
+        );
+        assert_eq!((of("shift-entry", "failed"), of("shift-entry", "answered")), (1, 0));
+        assert_eq!((&summary["open"], &summary["processes"][0]["ended"]), (&json!(0), &json!(true)));
+        assert_eq!(summary["processes"][0]["tries"], 6);
+        let replayed = folder.json(&["replay", "--json"]);
+        let report = &replayed["processes"][0]["report"];
+        assert_eq!((&report["difference"], &report["checkpoints"]), (&Value::Null, &json!(1)));
+        assert!(report["actions"].as_u64().unwrap() > 10);
+        // The failed query, by its number: the third that was taken.
+        let cat = folder.json(&["summary", "--class", "shift-entry", "--json"]);
+        assert_eq!(cat["classes"].as_object().unwrap().len(), 1);
+        let lines = String::from_utf8(folder.tool(&["cat", "--class", "shift-entry"]).stdout).unwrap();
+        let taken = lines.lines().find(|line| line.contains("Taken")).unwrap();
+        let name = taken.split("\"name\":\"").nth(1).unwrap().split('"').next().unwrap();
+        let why = String::from_utf8(folder.tool(&["why", name]).stdout).unwrap();
+        for words in ["failed", "part 1: attempt 0 goes to s-", "its last byte is written", "errored at s-"] {
+            assert!(why.contains(words), "{words}: {why}");
+        }
+    }
+}
+
+#[test]
+fn a_killed_process_leaves_what_it_had_written() {
+    let folder = Folder::new();
+    let mut aggregator = Aggregator::changed(WIRES[0], 2, |config, _| key(&folder, config, true));
+    assert!(aggregator.ask("run-lookup", &[0, 1], 4000).whole());
+    // Until the block that tells of it is on the disk.
+    let kept = |aggregator: &Aggregator| aggregator.call("GET", "/trace").json()["kept"].as_u64().unwrap();
+    let before = kept(&aggregator);
+    while kept(&aggregator) < before + 20 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    aggregator.signal("KILL");
+    aggregator.wait();
+    let summary = folder.json(&["summary", "--json"]);
+    assert_eq!(summary["classes"]["run-lookup"]["answered"], 1);
+    assert_eq!(summary["processes"][0]["ended"], false);
+    assert!(summary["troubles"][0].as_str().unwrap().contains("no index"));
+    assert_eq!(folder.json(&["replay", "--json"])["processes"][0]["report"]["difference"], Value::Null);
+}
+
+#[test]
+fn operators_switch_it_and_have_new_segments_begun() {
+    let folder = Folder::new();
+    let aggregator = Aggregator::changed(WIRES[0], 2, |config, _| key(&folder, config, false));
+    assert!(aggregator.ask("run-lookup", &[0], 4000).whole());
+    assert_eq!((folder.files(), &aggregator.call("GET", "/trace").json()["recording"]), (0, &json!(false)));
+    assert_eq!(aggregator.call("PUT", "/trace/start").status, 200);
+    assert!(aggregator.ask("run-lookup", &[0], 4000).whole());
+    assert_eq!(aggregator.call("PUT", "/trace/rotate").status, 200);
+    while folder.files() < 2 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(aggregator.ask("run-lookup", &[0], 4000).whole());
+    assert_eq!(aggregator.call("PUT", "/trace/stop").json()["recording"], json!(false));
+    assert_eq!(aggregator.call("GET", "/trace/stop").status, 405);
+    assert!(aggregator.ask("run-lookup", &[0], 4000).whole());
+    end(aggregator);
+    let summary = folder.json(&["summary", "--json"]);
+    let lookup = &summary["classes"]["run-lookup"];
+    assert_eq!((&lookup["taken"], &lookup["answered"]), (&json!(2), &json!(2)));
+    // What was counted before the recording began is told of.
+    assert_eq!(summary["processes"][0]["missing"]["run-lookup"], json!([1, 0, 0]));
+    assert_eq!(folder.json(&["replay", "--json"])["processes"][0]["report"]["checkpoints"], 2);
+    assert!(folder.tool(&["info", "--verify"]).status.success());
+}
+
+#[test]
+fn an_upgrade_goes_on_recording_each_process_in_its_own_segments() {
+    for wire in WIRES {
+        let folder = Folder::new();
+        let old = Aggregator::changed(wire, 2, |config, _| key(&folder, config, false));
+        old.call("PUT", "/trace/start");
+        old.board.act(0, Act::Silent);
+        old.board.act(1, Act::Silent);
+        // Under way at the old one while the new one takes over.
+        let mut asked = old.begin("run-lookup", &[0], 4000);
+        old.board.wait("the part to arrive", |state| !state.parts.is_empty());
+        let new = old.succeed();
+        assert_eq!(new.call("GET", "/trace").json()["recording"], json!(true));
+        for store in [0, 1] {
+            new.board.act(store, Act::Serve);
+        }
+        assert!(new.ask("run-lookup", &[1], 4000).whole());
+        assert!(crate::aggregator::answer(&mut asked).status > 0);
+        end(old);
+        end(new);
+        let summary = folder.json(&["summary", "--json"]);
+        assert_eq!(summary["processes"].as_array().unwrap().len(), 2);
+        let lookup = &summary["classes"]["run-lookup"];
+        let ended: u64 =
+            ["answered", "refused", "failed"].iter().map(|end| lookup[end].as_u64().unwrap()).sum();
+        assert_eq!((&lookup["taken"], ended, &summary["open"]), (&json!(2), 2, &json!(0)));
+        let replayed = folder.json(&["replay", "--json"]);
+        for process in replayed["processes"].as_array().unwrap() {
+            assert_eq!(process["report"]["difference"], Value::Null);
+        }
+    }
+}
+
+#[test]
+fn a_folder_that_cannot_be_had_is_told_at_the_start() {
+    let folder = Folder::new();
+    let file = folder.0.join("a-file");
+    std::fs::write(&file, "").unwrap();
+    let aggregator = Aggregator::changed(WIRES[0], 2, |config, _| {
+        config["trace"] = json!({"dir": file.join("below"), "on": false});
+    });
+    let answer = aggregator.call("PUT", "/trace/start");
+    assert_eq!(answer.status, 500);
+    assert!(answer.body.contains("a-file"), "{}", answer.body);
+    assert!(aggregator.ask("run-lookup", &[0], 4000).whole(), "it serves all the same");
+}
