--- a/crates/trace/src/edit.rs
+++ b/crates/trace/src/edit.rs
@@ -306,10 +306,13 @@
     let (mut groups, mut queries) = (HashSet::new(), HashSet::new());
     set.blockwise(all, |met| {
         if let Met::Entry(_, block, entry) = met {
-            let mut note = |kind, name: &mut Name| match kind {
-                Kind::Group => drop(groups.insert(hash(block.text(*name)))),
-                Kind::Query => drop(queries.insert(hash(block.text(*name)))),
-                _ => {}
+            let mut note = |kind, name: &mut Name| {
+                let hash = hash(block.text(*name));
+                let _new = match kind {
+                    Kind::Group => groups.insert(hash),
+                    Kind::Query => queries.insert(hash),
+                    Kind::Class | Kind::RunStore | Kind::Key => false,
+                };
             };
             // Only a copy can be visited so; records that carry much have no names of theirs.
             match &entry.record {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -1,7 +1,7 @@
 //! The trace format of ironpaddle: what an aggregator saw and decided, for the day after.
 //!
 //! A trace is a set of segments. A segment is a file of blocks ([`block`]), each readable by itself, with an index by
-//! time and query at its end ([`file`], [`index`]); one that a crash cut short is read up to its last sound block.
+//! time and query at its end ([`mod@file`], [`index`]); one that a crash cut short is read up to its last sound block.
 //! [`record`] is the model. Nothing here opens a socket or a thread; the format works on `Read`, `Write` and `Seek`.
 //! The format is described in `docs/TRACE.md`.
 #![warn(missing_docs)]
@@ -16,6 +16,7 @@
 pub mod set;
 pub mod story;
 pub mod summary;
+mod v1;
 pub mod version;
 
 use std::fmt;
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -167,6 +167,142 @@
     pub started: Option<Num>,
 }
 
+/// Why a query was refused or failed. What a version before this one did not know is [`Cause::Unknown`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Cause {
+    /// It was not recorded.
+    Unknown,
+    /// No run store was listed.
+    NoList,
+    /// No listed run store held this shard.
+    NoHolder(u32),
+    /// All that held this shard were draining.
+    Drained(u32),
+    /// All that held this shard had fallen silent.
+    AllParked(u32),
+    /// The run stores were busy and the group beyond its share.
+    BeyondShare,
+    /// The run stores were busy and the answer would have come too late.
+    PredictedLate,
+    /// Too few parts had come in when its time was up.
+    TimeUp,
+    /// The part of this shard failed, may have run, and must not run twice.
+    MayHaveRun(u32),
+    /// The part of this shard failed in all its attempts.
+    AttemptsSpent(u32),
+    /// The run stores that took it broke off.
+    Poison,
+    /// As much was held as may be.
+    MaxOpen,
+    /// Its client's time was up.
+    Overdue,
+    /// What had come in was too little for the answer that was meant.
+    TooLittle,
+}
+
+impl Cause {
+    /// Its code, as logs and figures have it.
+    pub fn code(self) -> &'static str {
+        match self {
+            Cause::Unknown => "unknown",
+            Cause::NoList => "no_list",
+            Cause::NoHolder(_) => "no_holder",
+            Cause::Drained(_) => "drained",
+            Cause::AllParked(_) => "all_parked",
+            Cause::BeyondShare => "beyond_share",
+            Cause::PredictedLate => "predicted_late",
+            Cause::TimeUp => "time_up",
+            Cause::MayHaveRun(_) => "may_have_run",
+            Cause::AttemptsSpent(_) => "attempts_spent",
+            Cause::Poison => "poison",
+            Cause::MaxOpen => "max_open",
+            Cause::Overdue => "overdue",
+            Cause::TooLittle => "too_little",
+        }
+    }
+
+    /// In words.
+    pub fn words(self) -> String {
+        match self {
+            Cause::Unknown => "the cause was not recorded".into(),
+            Cause::NoList => "no run store was listed".into(),
+            Cause::NoHolder(no) => format!("no listed run store held shard {no}"),
+            Cause::Drained(no) => format!("all run stores that held shard {no} were being drained"),
+            Cause::AllParked(no) => format!("all run stores that held shard {no} had fallen silent"),
+            Cause::BeyondShare => "the run stores were busy and the group was beyond its share".into(),
+            Cause::PredictedLate => "the run stores were busy and the answer would have come too late".into(),
+            Cause::TimeUp => "too few parts had come in when its time was up".into(),
+            Cause::MayHaveRun(no) => {
+                format!("the part of shard {no} failed, may have run, and must not run twice")
+            }
+            Cause::AttemptsSpent(no) => format!("the part of shard {no} failed in all its attempts"),
+            Cause::Poison => "the run stores that took it broke off".into(),
+            Cause::MaxOpen => "as much was held as may be (max_open)".into(),
+            Cause::Overdue => "its client's time was up".into(),
+            Cause::TooLittle => "what had come in was too little for the answer that was meant".into(),
+        }
+    }
+}
+
+/// Why an attempt was made, or called back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Why {
+    /// It was not recorded.
+    Unknown,
+    /// It was the first of its part.
+    First,
+    /// The last one had ended so.
+    After(Outcome),
+    /// The last one's run store had been silent for too long.
+    Silent,
+    /// The last one's run store had answered several later parts first.
+    Overtaken,
+    /// The last one went on an idle connection of those that are dropped unseen.
+    Dropped,
+    /// Its query was over.
+    Over,
+}
+
+impl Why {
+    /// In words.
+    pub fn words(self) -> String {
+        match self {
+            Why::Unknown => "why was not recorded".into(),
+            Why::First => "the first".into(),
+            Why::After(outcome) => format!("as the last one ended {}", outcome.code()),
+            Why::Silent => "as its run store was silent for too long".into(),
+            Why::Overtaken => "as its run store answered several later parts first".into(),
+            Why::Dropped => "as idle connections are being dropped unseen".into(),
+            Why::Over => "as the query is over".into(),
+        }
+    }
+}
+
+/// Why a part went to a run store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Choice {
+    /// It was not recorded.
+    Unknown,
+    /// It would finish first there.
+    Least,
+    /// No other that held its shard took parts.
+    Only,
+    /// All that held its shard had fallen silent, and this one was rated best.
+    BestParked,
+}
+
+impl Choice {
+    /// In words.
+    pub fn words(self) -> &'static str {
+        match self {
+            Choice::Unknown => "why there was not recorded",
+            Choice::Least => "least finish there",
+            Choice::Only => "no other takes parts of this shard",
+            Choice::BestParked => "all of this shard are parked, this one is rated best",
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Outcome {
@@ -188,6 +324,22 @@
     NotSent,
 }
 
+impl Outcome {
+    /// Its code.
+    pub fn code(self) -> &'static str {
+        match self {
+            Outcome::Completed => "completed",
+            Outcome::Errored => "errored",
+            Outcome::Rejected => "rejected",
+            Outcome::TimedOut => "timed_out",
+            Outcome::ConnectFailed => "connect_failed",
+            Outcome::Reset => "reset",
+            Outcome::Cancelled => "cancelled",
+            Outcome::NotSent => "not_sent",
+        }
+    }
+}
+
 /// A run store's word on its load.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -283,6 +435,10 @@
         run_store: Name,
         /// How long to wait.
         timeout: Num,
+        /// Why.
+        why: Why,
+        /// Why there.
+        choice: Choice,
     },
     /// Call an attempt back.
     Cancel {
@@ -292,6 +448,8 @@
         shard: u32,
         /// Its number.
         attempt: u32,
+        /// Why.
+        why: Why,
     },
     /// Answer a query.
     Answer {
@@ -306,6 +464,8 @@
         query: u64,
         /// How long its client should stay away.
         retry_after: Num,
+        /// Why.
+        cause: Cause,
     },
     /// Fail a query.
     Fail {
@@ -313,6 +473,8 @@
         query: u64,
         /// How long its client should stay away.
         retry_after: Num,
+        /// Why.
+        cause: Cause,
     },
     /// Probe a run store.
     Probe(Name),
@@ -373,6 +535,8 @@
     pub took: Num,
     /// How it ended.
     pub how: How,
+    /// Why it was refused or failed, if it was.
+    pub cause: Option<Cause>,
     /// Parts that were in.
     pub parts_in: u32,
     /// Parts that were asked for.
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -7,7 +7,6 @@
 use crate::block::Block;
 use crate::record::{Action, Entry, Event, How, Progress, Record};
 use crate::set::Set;
-use crate::summary::outcome;
 use crate::Error;
 
 /// A moment of a story.
@@ -103,10 +102,12 @@
                 self.class.get_or_insert_with(|| block.text(verdict.class).into());
                 self.end = Some(end(verdict.how).into());
                 let (took, parts_in, parts) = (verdict.took.value(), verdict.parts_in, verdict.parts);
+                let cause = verdict.cause.map_or(String::new(), |cause| format!(": {}", cause.words()));
+                let end = end(verdict.how);
                 self.say(
                     at,
                     None,
-                    format!("{} after {took:.1} ms, {parts_in} of {parts} parts in", end(verdict.how)),
+                    format!("{end} after {took:.1} ms, {parts_in} of {parts} parts in{cause}"),
                 );
             }
             Record::Wire(wire) if wire.query == query => {
@@ -140,10 +141,8 @@
                 let (name, latency) = (block.text(*run_store), latency.value());
                 let known = sent.get(shard).is_some_and(|sent| sent.len() > *attempt as usize);
                 let from = if known { "" } else { ", sent before this trace begins" };
-                let what = format!(
-                    "attempt {attempt} {} at {name} after {latency:.1} ms{load}{from}",
-                    outcome(*how)
-                );
+                let what =
+                    format!("attempt {attempt} {} at {name} after {latency:.1} ms{load}{from}", how.code());
                 self.say(at, Some(*shard), what);
             }
             Event::Gone(_) => self.say(at, None, "the module hears that it is over".into()),
@@ -159,15 +158,20 @@
         action: &Action,
     ) {
         match action {
-            Action::Send { shard, run_store, timeout, .. } => {
+            Action::Send { shard, run_store, timeout, why, choice, .. } => {
                 let attempts = sent.entry(*shard).or_default();
                 let (no, name) = (attempts.len(), block.text(*run_store).to_string());
-                let what = format!("attempt {no} goes to {name}, waited for {:.0} ms", timeout.value());
+                let what = format!(
+                    "attempt {no} ({}) goes to {name} ({}), waited for {:.0} ms",
+                    why.words(),
+                    choice.words(),
+                    timeout.value()
+                );
                 attempts.push((name, at));
                 self.say(at, Some(*shard), what);
             }
-            Action::Cancel { shard, attempt, .. } => {
-                self.say(at, Some(*shard), format!("attempt {attempt} is called back"));
+            Action::Cancel { shard, attempt, why, .. } => {
+                self.say(at, Some(*shard), format!("attempt {attempt} is called back {}", why.words()));
             }
             Action::Answer { whole, .. } => {
                 self.say(
@@ -176,11 +180,12 @@
                     format!("decided: answer, {}", if *whole { "whole" } else { "from what is in" }),
                 );
             }
-            Action::Refuse { retry_after, .. } => {
+            Action::Refuse { retry_after, cause, .. } => {
                 let wait = retry_after.value();
-                self.say(at, None, format!("decided: refuse, come again after {wait:.0} ms"));
+                let what = format!("decided: refuse, come again after {wait:.0} ms: {}", cause.words());
+                self.say(at, None, what);
             }
-            Action::Fail { .. } => self.say(at, None, "decided: fail".into()),
+            Action::Fail { cause, .. } => self.say(at, None, format!("decided: fail: {}", cause.words())),
             _ => {}
         }
     }
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::block::Block;
-use crate::record::{Entry, Event, How, Outcome, Progress, Record};
+use crate::record::{Entry, Event, How, Progress, Record};
 use crate::set::{Met, Set};
 
 /// Latencies are kept in microseconds, to three digits, up to ten minutes.
@@ -157,20 +157,6 @@
     }
 }
 
-/// The name of an outcome in tables.
-pub fn outcome(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::Completed => "completed",
-        Outcome::Errored => "errored",
-        Outcome::Rejected => "rejected",
-        Outcome::TimedOut => "timed_out",
-        Outcome::ConnectFailed => "connect_failed",
-        Outcome::Reset => "reset",
-        Outcome::Cancelled => "cancelled",
-        Outcome::NotSent => "not_sent",
-    }
-}
-
 #[derive(Default)]
 struct Tally {
     /// By process: its last counts by class, and the same ends as counted here, before those counts.
@@ -247,6 +233,10 @@
                     },
                 );
                 if only.has(class, group) {
+                    if let Some(cause) = verdict.cause {
+                        let causes = self.causes.entry(class.into()).or_default();
+                        *causes.entry(cause.code().into()).or_default() += 1;
+                    }
                     self.of(class, group, |service| service.end(verdict.how, verdict.took.value()));
                 }
             }
@@ -269,9 +259,9 @@
             Record::Step(step) => {
                 for event in &step.events {
                     match event {
-                        Event::Ended { run_store, outcome: end, .. } => {
+                        Event::Ended { run_store, outcome, .. } => {
                             let store = self.run_stores.entry(block.text(*run_store).into()).or_default();
-                            *store.ends.entry(outcome(*end).into()).or_default() += 1;
+                            *store.ends.entry(outcome.code().into()).or_default() += 1;
                         }
                         Event::Probe { run_store, ok, .. } => {
                             let store = self.run_stores.entry(block.text(*run_store).into()).or_default();
--- a/crates/trace/tests/common/mod.rs
+++ b/crates/trace/tests/common/mod.rs
@@ -54,7 +54,8 @@
         },
         Event::Part { query: no, shard: 3, weight: Num::of(1.0 / 3.0), hint: None, key: None },
     ];
-    let send = Action::Send { query: no, shard: 3, run_store, timeout: Num::of(3999.125) };
+    let (why, choice) = (Why::First, Choice::Least);
+    let send = Action::Send { query: no, shard: 3, run_store, timeout: Num::of(3999.125), why, choice };
     batch.push(at + 1.0, &Record::Step(Step { events, actions: vec![send] })).unwrap();
     let wire = Wire { query: no, shard: 3, attempt: 0, progress: Progress::Written };
     batch.push(at + 1.25, &Record::Wire(wire)).unwrap();
@@ -78,6 +79,7 @@
         group: Some(name(batch, Kind::Group, group)),
         took: Num::of(33.0),
         how,
+        cause: (how == How::Refused).then_some(Cause::BeyondShare),
         parts_in: 1,
         parts: 1,
     };
--- a/crates/trace/tests/format.rs
+++ b/crates/trace/tests/format.rs
@@ -7,7 +7,7 @@
 use common::{trace, BEGIN};
 use ironpaddle_trace::block::Block;
 use ironpaddle_trace::file::Reader;
-use ironpaddle_trace::record::{How, Record};
+use ironpaddle_trace::record::{Action, Cause, Choice, Entry, How, Record, Why};
 use ironpaddle_trace::Error;
 
 fn open(bytes: &[u8]) -> Result<Reader<Cursor<&[u8]>>, Error> {
@@ -119,14 +119,38 @@
     }
 }
 
+/// What a version before the second one knows of these records.
+fn without_causes(block: &Block) -> Vec<Entry> {
+    let mut entries = block.entries.clone();
+    for entry in &mut entries {
+        match &mut entry.record {
+            Record::Step(step) => {
+                for action in &mut step.actions {
+                    if let Action::Send { why, choice, .. } = action {
+                        (*why, *choice) = (Why::Unknown, Choice::Unknown);
+                    }
+                }
+            }
+            Record::Verdict(verdict) => verdict.cause = verdict.cause.map(|_| Cause::Unknown),
+            _ => {}
+        }
+    }
+    entries
+}
+
 #[test]
-fn the_first_version_is_read_as_it_was() {
-    let golden = include_bytes!("golden/v1.iptrace");
-    let read = blocks(golden);
-    assert!(read.iter().all(|block| block.version == 1));
+fn both_versions_are_read_as_they_were_written() {
     let now = blocks(&trace("n0", true));
-    let entries = |blocks: &[Block]| blocks.iter().map(|block| block.entries.clone()).collect::<Vec<_>>();
-    assert_eq!(entries(&read), entries(&now));
+    let second = blocks(include_bytes!("golden/v2.iptrace"));
+    assert_eq!(second, now);
+    assert!(second.iter().all(|block| block.version == 2));
+    let first = blocks(include_bytes!("golden/v1.iptrace"));
+    assert!(first.iter().all(|block| block.version == 1));
+    let expected: Vec<_> = now.iter().map(without_causes).collect();
+    assert_eq!(first.iter().map(|block| block.entries.clone()).collect::<Vec<_>>(), expected);
+    // What it did not know is unknown, not absent.
+    let Record::Verdict(refused) = &first[2].entries.last().unwrap().record else { panic!("{first:?}") };
+    assert_eq!(refused.cause, Some(Cause::Unknown));
 }
 
 /// Writes the golden file of a version that is new; it is never written again.
--- a/src/api.rs
+++ b/src/api.rs
@@ -3,6 +3,7 @@
 //! Plain data. All times are milliseconds of the caller's clock, which only
 //! has to run forward.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -252,7 +253,7 @@
 }
 
 /// How an attempt or a probe ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Outcome {
     /// Served.
     Completed,
@@ -362,6 +363,112 @@
     Wake,
 }
 
+/// Why a query was refused or failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Cause {
+    /// No run store is listed, as none was told of yet or all are gone.
+    NoList,
+    /// No listed run store holds this shard.
+    NoHolder(Shard),
+    /// All that hold this shard drain, as told or by hand.
+    Drained(Shard),
+    /// All that hold this shard are parked: they fell silent.
+    AllParked(Shard),
+    /// The fleet is pressed and the query is beyond its tenant's share.
+    BeyondShare,
+    /// The fleet is pressed and the answer would come too late.
+    PredictedLate,
+    /// Too little had come in when its time was up.
+    TimeUp,
+    /// A part of this shard failed, may have run, and must not run twice.
+    MayHaveRun(Shard),
+    /// A part of this shard failed in as many attempts as there may be.
+    AttemptsSpent(Shard),
+    /// The replicas that took it died of it.
+    Poison,
+    /// As much is held as may be.
+    MaxOpen,
+    /// The client's time was up while it was still held.
+    Overdue,
+    /// An answer was meant that the class's least share, or the client, does not allow.
+    TooLittle,
+}
+
+impl Cause {
+    /// Its code, in logs, figures and traces.
+    pub fn code(self) -> &'static str {
+        match self {
+            Cause::NoList => "no_list",
+            Cause::NoHolder(_) => "no_holder",
+            Cause::Drained(_) => "drained",
+            Cause::AllParked(_) => "all_parked",
+            Cause::BeyondShare => "beyond_share",
+            Cause::PredictedLate => "predicted_late",
+            Cause::TimeUp => "time_up",
+            Cause::MayHaveRun(_) => "may_have_run",
+            Cause::AttemptsSpent(_) => "attempts_spent",
+            Cause::Poison => "poison",
+            Cause::MaxOpen => "max_open",
+            Cause::Overdue => "overdue",
+            Cause::TooLittle => "too_little",
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cause::NoList => write!(f, "no run store is listed yet"),
+            Cause::NoHolder(Shard(no)) => write!(f, "no listed run store holds shard {no}"),
+            Cause::Drained(Shard(no)) => write!(f, "all run stores that hold shard {no} are being drained"),
+            Cause::AllParked(Shard(no)) => {
+                write!(f, "all run stores that hold shard {no} have fallen silent")
+            }
+            Cause::BeyondShare => write!(f, "the run stores are busy and the group is beyond its share"),
+            Cause::PredictedLate => write!(f, "the run stores are busy and the answer would come too late"),
+            Cause::TimeUp => write!(f, "too few parts had come in when its time was up"),
+            Cause::MayHaveRun(Shard(no)) => {
+                write!(f, "the part of shard {no} failed, may have run, and must not run twice")
+            }
+            Cause::AttemptsSpent(Shard(no)) => write!(f, "the part of shard {no} failed in all its attempts"),
+            Cause::Poison => write!(f, "the run stores that took it broke off"),
+            Cause::MaxOpen => write!(f, "the aggregator holds as many queries as it may"),
+            Cause::Overdue => write!(f, "its time was up"),
+            Cause::TooLittle => write!(f, "what had come in is too little for an answer"),
+        }
+    }
+}
+
+/// Why an attempt is made, or was called back.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Why {
+    /// It is the first of its part.
+    #[default]
+    First,
+    /// The last one ended so.
+    After(Outcome),
+    /// The replica of the last one was silent for too long.
+    Silent,
+    /// The replica of the last one answered several later parts first, so that this one is lost.
+    Overtaken,
+    /// The last one went on an idle connection of those that are dropped unseen.
+    Dropped,
+    /// Its query is over.
+    Over,
+}
+
+/// Why a part goes to a replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Choice {
+    /// It would finish first there.
+    #[default]
+    Least,
+    /// No other that holds its shard takes parts now.
+    Only,
+    /// All that hold its shard are parked, and this one is rated best.
+    BestParked,
+}
+
 /// Something to do, in the order given.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -373,6 +480,10 @@
         replica: ReplicaId,
         /// How long to wait for it.
         timeout: Millis,
+        /// Why it is made.
+        why: Why,
+        /// Why there.
+        choice: Choice,
     },
     /// Stop waiting for an attempt.
     Cancel {
@@ -380,6 +491,8 @@
         part: PartId,
         /// The attempt.
         attempt: Attempt,
+        /// Why.
+        why: Why,
     },
     /// Answer a query from the parts that are in.
     Answer {
@@ -394,6 +507,8 @@
         query: QueryId,
         /// How long the client should stay away; 0 for no advice.
         retry_after: Millis,
+        /// Why.
+        cause: Cause,
     },
     /// Fail a query, with no word on its effects.
     Fail {
@@ -401,6 +516,8 @@
         query: QueryId,
         /// How long the client should stay away; 0 for no advice.
         retry_after: Millis,
+        /// Why.
+        cause: Cause,
     },
     /// Probe a replica.
     Probe {
--- a/src/bin/ironpaddle-simhost/wire.rs
+++ b/src/bin/ironpaddle-simhost/wire.rs
@@ -320,16 +320,16 @@
 pub fn command(instance: u64, action: api::Action) -> Command {
     use api::Action;
     match action {
-        Action::Send { part, replica, timeout } => {
+        Action::Send { part, replica, timeout, .. } => {
             Command::HandOff { instance, request_id: part.0, replica: replica.0, try_for_ms: timeout }
         }
-        Action::Cancel { part, attempt } => {
+        Action::Cancel { part, attempt, .. } => {
             Command::CallOff { instance, request_id: part.0, attempt: attempt.0 }
         }
         Action::Answer { query, whole } => {
             Command::SettleQuery { instance, request_id: query.0, entire: whole }
         }
-        Action::Refuse { query, retry_after } => {
+        Action::Refuse { query, retry_after, .. } => {
             Command::OverloadReply { instance, request_id: query.0, wait_ms: retry_after }
         }
         Action::Fail { query, .. } => Command::Lose { instance, request_id: query.0 },
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -2,17 +2,20 @@
 
 use super::ledger::{Ledger, Part, Query};
 use super::{Ask, Core, Order, QueryNo, Verdict};
-use crate::api::{ClassIndex, Event, Millis, NewPart, NewQuery, PartId, Shard, TenantIndex};
+use crate::api::{Cause, ClassIndex, Event, Millis, NewPart, NewQuery, PartId, Shard, TenantIndex};
 
 impl Core {
     pub(super) fn admit(&mut self, now: Millis, no: QueryNo, class: usize, deadline: Millis, ask: Ask) {
         // At the limit a query is turned away before the router hears of it, so that what is held
         // stays bounded whatever comes in. Nothing of it has run: a refusal is safe.
-        if self.ledger.open() + self.held_elsewhere >= self.max_open || deadline <= now {
+        let late = deadline <= now;
+        if self.ledger.open() + self.held_elsewhere >= self.max_open || late {
             self.counters.turned_away += 1;
-            let verdict = Verdict::Refused { retry_after: self.advice(class) };
+            let cause = if late { Cause::Overdue } else { Cause::MaxOpen };
+            let verdict = Verdict::Refused { retry_after: self.advice(class), cause };
             self.counters.answered(&self.classes.at(class).name, &verdict);
-            self.tape_turned_away(now, no, class, &ask, deadline);
+            self.tape_turned_away(now, no, class, &ask, (deadline, cause));
+            self.say_cause(now, class, cause);
             self.orders.push_back(Order::Final { query: no, verdict });
             return;
         }
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -2,7 +2,7 @@
 
 use super::ledger::{Ledger, Query};
 use super::{Core, Order, QueryNo, Verdict};
-use crate::api::{Event, Millis, QueryId, Repeat};
+use crate::api::{Cause, Event, Millis, QueryId, Repeat};
 use ironpaddle_trace::record::How;
 
 /// Sums of weights may fall short by this much.
@@ -10,6 +10,9 @@
 /// Advice to a client whose query this core ends by itself, of its class's aim.
 const WAIT_OF_AIM: f64 = 0.25;
 
+/// The log tells of each cause once in so many milliseconds; the figures count all.
+const SAY_CAUSE: Millis = 10_000.0;
+
 impl Core {
     pub(super) fn answer(&mut self, now: Millis, id: &QueryId, whole: bool) {
         let Some(no) = self.ledger.numbers.get(id).copied() else { return };
@@ -24,7 +27,7 @@
         if enough && (whole || query.partial) {
             self.close(now, no, Verdict::Served { whole, pieces, parts });
         } else {
-            let verdict = self.failed(query.class);
+            let verdict = self.failed(query.class, Cause::TooLittle);
             self.close(now, no, verdict);
         }
     }
@@ -35,9 +38,9 @@
     }
 
     /// A failure; only clients of what is safe to repeat are asked back.
-    fn failed(&self, class: usize) -> Verdict {
+    fn failed(&self, class: usize, cause: Cause) -> Verdict {
         let safe = self.classes.at(class).class.repeat == Repeat::Safe;
-        Verdict::Failed { retry_after: if safe { self.advice(class) } else { 0.0 } }
+        Verdict::Failed { retry_after: if safe { self.advice(class) } else { 0.0 }, cause }
     }
 
     pub(super) fn end(&mut self, now: Millis, id: &QueryId, verdict: Verdict) {
@@ -51,17 +54,32 @@
         let unsafe_class = self.classes.at(query.class).class.repeat == Repeat::Unsafe;
         // A refusal says that trying again is harmless: never where an unsafe part may have run.
         let verdict = match verdict {
-            Verdict::Refused { .. } if unsafe_class && self.ledger.may_have_run(query) => {
-                self.failed(query.class)
+            Verdict::Refused { cause, .. } if unsafe_class && self.ledger.may_have_run(query) => {
+                self.failed(query.class, cause)
             }
             verdict => verdict,
         };
-        self.counters.answered(&self.classes.at(query.class).name, &verdict);
-        self.tape_verdict(now, no, super::taped::how(&verdict));
+        let class = query.class;
+        self.counters.answered(&self.classes.at(class).name, &verdict);
+        self.tape_verdict(now, no, super::taped::how(&verdict), verdict.cause());
+        if let Some(cause) = verdict.cause() {
+            self.say_cause(now, class, cause);
+        }
         self.forget(no);
         self.orders.push_back(Order::Final { query: no, verdict });
     }
 
+    /// Tells people of a cause, once in a while for each.
+    pub(super) fn say_cause(&mut self, now: Millis, class: usize, cause: Cause) {
+        let said = self.said.get(cause.code()).copied();
+        if said.is_none_or(|at| now - at >= SAY_CAUSE) {
+            self.said.insert(cause.code(), now);
+            let class = &self.classes.at(class).name;
+            let text = format!("not answered: class={class} cause={} ({cause})", cause.code());
+            self.orders.push_back(Order::Log(text));
+        }
+    }
+
     fn forget(&mut self, no: QueryNo) -> Option<Query> {
         let query = self.ledger.queries.remove(&no)?;
         self.ledger.numbers.remove(&Ledger::query_id(no));
@@ -73,7 +91,7 @@
 
     /// The client has left: the router is told, and nothing is owed any more.
     pub fn client_gone(&mut self, now: Millis, no: QueryNo) {
-        self.tape_verdict(now, no, How::Left);
+        self.tape_verdict(now, no, How::Left, None);
         if self.forget(no).is_some() {
             self.counters.clients_gone += 1;
             self.inbox.push(Event::ClientGone(Ledger::query_id(no)));
@@ -90,7 +108,7 @@
             .map(|(no, _)| *no)
             .collect();
         for no in overdue {
-            self.close(now, no, Verdict::Failed { retry_after: 0.0 });
+            self.close(now, no, Verdict::Failed { retry_after: 0.0, cause: Cause::Overdue });
             self.inbox.push(Event::ClientGone(Ledger::query_id(no)));
         }
     }
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -14,7 +14,7 @@
 
 use super::legacy::Legacy;
 use super::{Ask, Call, CallEnd, CallNo, Core, News, NotTaken, Order, QueryNo, Verdict};
-use crate::api::{LoadReport, Millis, ReplicaId};
+use crate::api::{Cause, LoadReport, Millis, ReplicaId};
 use crate::counters::{Counters, Gauges};
 use crate::settings::Info;
 use crate::trace::control::Control;
@@ -231,6 +231,11 @@
         }
     }
 
+    /// The number of run stores that are listed.
+    pub fn run_stores(&self) -> usize {
+        self.core.borrow().run_stores()
+    }
+
     /// The version of the list, where its directory has one.
     pub fn version(&self) -> Option<u64> {
         self.directory.get()?.version()
@@ -412,7 +417,7 @@
 impl Pending {
     /// Waits for the final answer.
     pub async fn verdict(&self) -> Verdict {
-        self.verdict.recv().await.unwrap_or(Verdict::Failed { retry_after: 0.0 })
+        self.verdict.recv().await.unwrap_or(Verdict::Failed { retry_after: 0.0, cause: Cause::Overdue })
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,7 +25,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use crate::api::{Event, Millis, Outcome, ReplicaId, ReplicaState, Settings};
+use crate::api::{Cause, Event, Millis, Outcome, ReplicaId, ReplicaState, Settings};
 use crate::counters::{Counters, Gauges};
 use crate::settings::Info;
 use crate::trace::tape::{InForce, Tape};
@@ -101,14 +101,28 @@
     Refused {
         /// How long the client should stay away; 0 for no advice.
         retry_after: Millis,
+        /// Why.
+        cause: Cause,
     },
     /// Failed, with no word on its effects.
     Failed {
         /// How long the client should stay away; 0 for no advice.
         retry_after: Millis,
+        /// Why.
+        cause: Cause,
     },
 }
 
+impl Verdict {
+    /// Why it is no answer, if it is none.
+    pub fn cause(&self) -> Option<Cause> {
+        match self {
+            Verdict::Served { .. } => None,
+            Verdict::Refused { cause, .. } | Verdict::Failed { cause, .. } => Some(*cause),
+        }
+    }
+}
+
 /// A part's answer, as a run store gave it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Piece {
@@ -234,6 +248,8 @@
     tenants: BTreeMap<Arc<str>, usize>,
     settings: Settings,
     info: Info,
+    /// When the log last told of each cause.
+    said: BTreeMap<&'static str, Millis>,
     /// The recording, if one is on.
     tape: Option<Box<Tape>>,
     max_open: usize,
@@ -265,6 +281,7 @@
             settings: Settings::default(),
             info: info.clone(),
             tape: None,
+            said: BTreeMap::new(),
             max_open: 0,
             held_elsewhere: 0,
             shards: None,
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -26,11 +26,15 @@
 
     fn act(&mut self, now: Millis, action: Action) {
         match action {
-            Action::Send { part, replica, timeout } => self.send(now, part, replica, timeout),
-            Action::Cancel { part, attempt } => self.cancel(now, &part, attempt),
+            Action::Send { part, replica, timeout, .. } => self.send(now, part, replica, timeout),
+            Action::Cancel { part, attempt, .. } => self.cancel(now, &part, attempt),
             Action::Answer { query, whole } => self.answer(now, &query, whole),
-            Action::Refuse { query, retry_after } => self.end(now, &query, Verdict::Refused { retry_after }),
-            Action::Fail { query, retry_after } => self.end(now, &query, Verdict::Failed { retry_after }),
+            Action::Refuse { query, retry_after, cause } => {
+                self.end(now, &query, Verdict::Refused { retry_after, cause });
+            }
+            Action::Fail { query, retry_after, cause } => {
+                self.end(now, &query, Verdict::Failed { retry_after, cause });
+            }
             Action::Probe { replica } => self.probe(replica),
             Action::CloseIdle { replica } => self.orders.push_back(Order::CloseIdle(replica)),
             Action::Subscribe => self.orders.push_back(Order::Watch),
--- a/src/core/taped.rs
+++ b/src/core/taped.rs
@@ -6,7 +6,7 @@
 use ironpaddle_trace::record::{How, Progress};
 
 use super::{Ask, Call, Core, InForce, QueryNo, Tape, Verdict};
-use crate::api::Millis;
+use crate::api::{Cause, Millis};
 use crate::trace::tape::Ended;
 use crate::trace::MODULE;
 
@@ -98,7 +98,7 @@
         no: QueryNo,
         class: usize,
         ask: &Ask,
-        until: Millis,
+        (until, cause): (Millis, Cause),
     ) {
         self.tape_taken(now, no, class, ask, until);
         if let Some(tape) = &mut self.tape {
@@ -110,6 +110,7 @@
                     group: group_of(&self.tenants, ask),
                     taken: now,
                     how: How::Refused,
+                    cause: Some(cause),
                     parts_in: 0,
                     parts: ask.parts.len(),
                 },
@@ -133,7 +134,7 @@
     }
 
     /// The end of a query that is still held.
-    pub(super) fn tape_verdict(&mut self, now: Millis, no: QueryNo, how: How) {
+    pub(super) fn tape_verdict(&mut self, now: Millis, no: QueryNo, how: How, cause: Option<Cause>) {
         let Some(tape) = &mut self.tape else { return };
         let Some(query) = self.ledger.queries.get(&no) else { return };
         let is_in = |id: &&_| self.ledger.parts.get(id).is_some_and(|part| part.value.is_some());
@@ -145,6 +146,7 @@
                 group: query.group.as_ref(),
                 taken: query.taken,
                 how,
+                cause,
                 parts_in: query.parts.iter().filter(is_in).count(),
                 parts: query.parts.len(),
             },
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -50,6 +50,8 @@
     pub malformed: u64,
     /// Ends by class, of every class that there has been.
     pub classes: BTreeMap<Arc<str>, Ends>,
+    /// Of those refused or failed: how many, by class and the cause's code.
+    pub causes: BTreeMap<(Arc<str>, &'static str), u64>,
     /// Attempts written whole to a run store.
     pub tries: u64,
     /// Attempts handed to a transport.
@@ -82,6 +84,9 @@
             Verdict::Refused { .. } => &mut self.refused,
             Verdict::Failed { .. } => &mut self.failed,
         } += 1;
+        if let Some(cause) = verdict.cause() {
+            *self.causes.entry((class.clone(), cause.code())).or_default() += 1;
+        }
     }
 
     /// A request was answered with a 4xx before it became a query. It counts as an error of a class that there is
@@ -115,6 +120,9 @@
             .concat()
     };
     let mut text: String = counters.classes.iter().map(ends).collect();
+    for ((class, cause), count) in &counters.causes {
+        text += &format!("aggregator.causes.{class}.{cause}:{count}|c\n");
+    }
     let count = |name: &str, count: u64| format!("aggregator.{name}:{count}|c\n");
     text += &count("tries", counters.tries);
     let gauge = |name: &str, value: usize| format!("aggregator.{name}:{value}|g\n");
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
-use crate::hash::{hash, mix};
+use crate::faded::Faded;
+use crate::hash::{draw, hash, mix};
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
@@ -50,8 +51,7 @@
 /// in this step: no client can tell. Ties go to the call (its overhead is paid), the own zone, then an order.
 const TIE: f64 = 1.15;
 const TIE_OF_AIM: f64 = 0.3;
-/// Weight kept above the least share in a trimmed query, as some of it may come late, and the gain in worth
-/// for work from which trimming is better than refusing whole queries.
+/// Weight kept above the least share in trimming, as some may be late, and its least gain in worth for work.
 const TRIM_KEEPS: f64 = 0.15;
 const TRIM_GAIN: f64 = 1.2;
 /// Bounds of what the work out now, against that behind the usual latency, makes of a prediction.
@@ -60,8 +60,7 @@
 const LATE_WORTH: f64 = 0.5;
 /// Advice to a refused client and the first wait to ask for the list again, of the aim.
 const WAIT_OF_AIM: f64 = 0.25;
-/// Share of sends on idle connections lost from which these are closed early, after that share of the least
-/// idleness that was fatal.
+/// Share of sends on idle connections lost from which these are closed, at that share of a fatal idleness.
 const DROPS: f64 = 0.1;
 const DROP_OF_USUAL: f64 = 0.25;
 const IDLE_MARGIN: f64 = 0.5;
@@ -87,12 +86,8 @@
 /// A replica's name, hashed: unlike text it is compared in one go.
 type ServerNo = u64;
 
-/// A share of what happened lately, and when it was last told: old cases are slowly forgiven.
-#[derive(Default, Clone, Copy, Serialize, Deserialize)]
-struct Faded(f64, Millis);
-
 /// A part sent and not yet ended, or ended after its query.
-#[derive(Serialize, Deserialize)]
+#[derive(Default, Serialize, Deserialize)]
 struct Flight {
     server: ServerNo,
     class: usize,
@@ -100,7 +95,7 @@
     cost: f64,
     load_then: f64,
     idle: Option<Millis>,
-    cancelled: bool,
+    cancelled: Option<Why>,
     /// Parts sent there after it that were answered before it.
     overtaken: u32,
 }
@@ -114,7 +109,7 @@
     key: u64,
     done: bool,
     left_out: bool,
-    turned_away: bool,
+    why: Why,
     attempts: u32,
     /// The attempt out, and where: never two at once, as a copy is load.
     out: Option<(Attempt, ServerNo)>,
@@ -173,6 +168,8 @@
 pub struct Router {
     s: Settings,
     min_aim: Millis,
+    /// Time in which half of a bad record is forgiven.
+    forgive: Millis,
     rng: u64,
     own: u64,
     now: Millis,
@@ -252,6 +249,7 @@
         settings.check()?;
         let (classes, now) = (settings.classes.len(), self.now);
         self.min_aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        self.forgive = self.min_aim * FORGIVE_AIMS;
         self.m.spread.resize(classes, (0.0, 0.0));
         self.m.quota = settings.tenants.iter().map(|t| (t.quota_per_s, now)).collect();
         self.servers.values_mut().for_each(|server| server.failed.resize(classes, Faded(0.0, now)));
@@ -305,9 +303,7 @@
             Event::AttemptEnded(end) => self.take_outcome(end),
             Event::ProbeEnded { replica, ok, load } => self.take_probe(&replica, ok, load),
             Event::ClientGone(id) => {
-                if let Some(&number) = self.numbers.get(&id) {
-                    self.drop_query(number);
-                }
+                self.numbers.get(&id).copied().into_iter().for_each(|n| self.drop_query(n))
             }
             Event::Wake => self.wake = None,
         }
@@ -320,7 +316,7 @@
                 // Growing, jittered waits: an overloaded discovery must not be asked by all at once.
                 self.asks = (self.asks + 1).min(5);
                 let wait = self.min_aim * f64::from(1u32 << self.asks) * WAIT_OF_AIM;
-                self.ask_at = self.now + wait * (0.5 + self.chance());
+                self.ask_at = self.now + wait * (0.5 + draw(&mut self.rng));
                 return;
             }
             ListNews::Full(lines) | ListNews::Cached(lines) => (lines, true),
@@ -338,7 +334,7 @@
                 _ => {
                     let failed = vec![Faded(0.0, self.now); self.s.classes.len()];
                     let (heard, answered) = (self.now, self.now);
-                    let cold = (self.chance(), self.now);
+                    let cold = (draw(&mut self.rng), self.now);
                     let server = Server { number, cold, line, heard, answered, failed, ..Server::default() };
                     self.servers.insert(number, server);
                 }
@@ -363,8 +359,7 @@
         let NewQuery { id, number, deadline, arrived, .. } = new;
         self.numbers.insert(id.clone(), number);
         let accepted = arrived.min(self.now);
-        let query = Query { id, class, accepted, deadline, worth, ..Query::default() };
-        self.queries.insert(number, query);
+        self.queries.insert(number, Query { id, class, accepted, deadline, worth, ..Query::default() });
         self.fresh.push(number);
     }
 
@@ -386,7 +381,7 @@
     fn take_outcome(&mut self, end: AttemptEnded) {
         let AttemptEnded { part: id, attempt, outcome, latency, load, .. } = end;
         let Some(((id, _), flight)) = self.flights.remove_entry(&(id, attempt)) else { return };
-        if !flight.cancelled {
+        if flight.cancelled.is_none() {
             self.load_out = (self.load_out - flight.cost).max(0.0);
         }
         self.note_outcome(&flight, outcome, latency, load);
@@ -396,7 +391,7 @@
             query.resets.push((flight.server, flight.idle.is_none()));
         }
         let part = &mut query.parts[index];
-        (part.out, part.turned_away) = (None, outcome == Outcome::Rejected);
+        (part.out, part.why) = (None, flight.cancelled.unwrap_or(Why::After(outcome)));
         if outcome == Outcome::Completed {
             part.done = true;
             query.share += part.weight;
@@ -421,7 +416,7 @@
     }
 
     fn note_outcome(&mut self, flight: &Flight, outcome: Outcome, latency: Millis, load: Option<LoadReport>) {
-        let (now, aim) = (self.now, self.min_aim);
+        let (now, forgive) = (self.now, self.forgive);
         // What drops idle connections unseen answers the next send at once.
         let quick = latency <= self.m.usual.unwrap_or(latency) * DROP_OF_USUAL;
         let dropped = outcome == Outcome::Reset && flight.idle.is_some() && quick;
@@ -442,13 +437,13 @@
         (server.load, server.loaded) = load.map_or((server.load, server.loaded), |load| (load, now));
         let lost = !dropped && matches!(outcome, Outcome::Errored | Outcome::Reset | Outcome::TimedOut);
         if lost || outcome == Outcome::Completed {
-            server.lost.note(f64::from(u8::from(lost)), SMOOTH, now, aim);
+            server.lost.note(f64::from(u8::from(lost)), SMOOTH, now, forgive);
         }
         match outcome {
             Outcome::Completed => {
                 server.dr = server.dr.filter(|_| self.back == now).or(Some(dr));
                 (server.heard, server.answered, server.parked, server.idle) = (now, now, None, None);
-                server.failed[flight.class].note(0.0, TRUST_STEP, now, aim);
+                server.failed[flight.class].note(0.0, TRUST_STEP, now, forgive);
                 if self.back < now {
                     self.measure(flight, latency);
                 }
@@ -460,7 +455,7 @@
                 server.answered = now;
                 // A connection that breaks ends many parts in one step, by one cause: it counts once.
                 if server.failed[flight.class].1 < now {
-                    server.failed[flight.class].note(1.0, TRUST_STEP, now, aim);
+                    server.failed[flight.class].note(1.0, TRUST_STEP, now, forgive);
                 }
             }
             // A replica that answered others meanwhile is slow, not gone: its rate says so.
@@ -477,7 +472,7 @@
     }
 
     fn drops(&self) -> f64 {
-        self.m.drops.at(self.now, self.min_aim)
+        self.m.drops.at(self.now, self.forgive)
     }
 
     /// Learns whether connections idle for so long are dropped unseen, by something on the way.
@@ -487,7 +482,7 @@
             self.m.idle_limit = limit.min(idle * IDLE_MARGIN);
             self.m.further += 1.0;
         }
-        self.m.drops.note(f64::from(u8::from(lost)), SMOOTH, self.now, self.min_aim);
+        self.m.drops.note(f64::from(u8::from(lost)), SMOOTH, self.now, self.forgive);
     }
 
     fn take_probe(&mut self, replica: &ReplicaId, ok: bool, load: Option<LoadReport>) {
@@ -569,7 +564,8 @@
                 continue;
             }
             if predicted > ADMIT_AT * factor.clamp(ADMIT_RANGE.0, ADMIT_RANGE.1) {
-                self.end_query(number, false);
+                let within = query.worth >= self.s.classes[class].worth;
+                self.end_query(number, false, if within { Cause::PredictedLate } else { Cause::BeyondShare });
             } else if predicted > PRESSED_AT {
                 self.trim(number);
             }
@@ -622,7 +618,7 @@
 
     /// Whether the fleet has little room, by what replicas reported lately; without reports it may have.
     fn busy(&self) -> bool {
-        let since = self.now - self.min_aim * FORGIVE_AIMS;
+        let since = self.now - self.forgive;
         let told = |s: &Server| s.load.utilization.filter(|_| s.loaded > since);
         let told: Vec<f64> = self.servers.values().filter_map(told).collect();
         told.is_empty() || told.iter().sum::<f64>() >= BUSY_AT * told.len() as f64
@@ -658,10 +654,9 @@
 
     /// Whether the rules of its class and the count of attempts allow the part one more.
     fn may_send(&self, part: &Part, class: usize) -> bool {
-        if part.done || part.out.is_some() || part.attempts >= self.s.max_attempts {
-            return false;
-        }
+        let spent = part.done || part.out.is_some() || part.attempts >= self.s.max_attempts;
         match (self.s.classes[class].repeat, part.may_have_run) {
+            _ if spent => false,
             (Repeat::Safe, _) | (_, None) => true,
             (Repeat::Keyed { window }, Some(first)) => self.now <= first + window,
             (Repeat::Unsafe, Some(_)) => false,
@@ -672,7 +667,7 @@
         let listed = |s: &&Server| s.line.state != ReplicaState::Gone;
         let heard: Vec<f64> = self.servers.values().filter(listed).filter_map(|s| s.dr).collect();
         self.m.mean = (!heard.is_empty()).then(|| heard.iter().sum::<f64>() / heard.len() as f64);
-        let since = self.now - self.min_aim * FORGIVE_AIMS;
+        let since = self.now - self.forgive;
         let before = self.now - self.m.usual.unwrap_or(0.0) * DEAD_AFTER_USUAL;
         let dead = |s: &&Server| s.died.is_some_and(|at| since < at && at <= before && s.heard < at);
         let died = self.servers.values().filter(dead).count();
@@ -689,46 +684,52 @@
             if held || !self.may_send(part, query.class) {
                 continue;
             }
-            if let Some(server) = self.choose(part, query.class) {
+            if let Some((server, choice)) = self.choose(part, query.class) {
                 self.waiting.remove(&entry);
-                self.send(number, index, server);
+                self.send(number, index, server, choice);
             }
         }
     }
 
+    /// Whether a replica holds a shard.
+    fn holds(&self, server: &Server, shard: Shard) -> bool {
+        let cells = self.s.cells;
+        (server.line.cell % cells + cells - shard.0 % cells) % cells < self.s.width
+    }
+
     /// The replica of the part's shard with the least finish; `None` if none may take it now.
-    fn choose(&self, part: &Part, class: usize) -> Option<ServerNo> {
+    fn choose(&self, part: &Part, class: usize) -> Option<(ServerNo, Choice)> {
         let left = (self.interval() + 1) as f64 * self.min_aim * INTERVAL_OF_AIM - self.now;
-        let (cells, active) = (self.s.cells, |s: &&Server| s.line.state == ReplicaState::Active);
-        let holds = |s: &&Server| (s.line.cell % cells + cells - part.shard.0 % cells) % cells < self.s.width;
         let bears =
             |s: &Server| self.cold_room(s, class).is_none_or(|(room, most)| room >= part.cost.min(most));
-        let mut pool: Vec<&Server> = self.servers.values().filter(active).filter(holds).collect();
-        pool.retain(|s| bears(s));
+        let mut pool: Vec<&Server> = self.servers.values().filter(|s| self.holds(s, part.shard)).collect();
+        pool.retain(|s| s.line.state == ReplicaState::Active && bears(s));
+        let choice = if pool.len() == 1 { Choice::Only } else { Choice::Least };
         let parked = pool.iter().all(|s| s.parked.is_some());
         // Where all are parked or full, tries are not thrown at them at once, nor is the last.
         let spent =
             part.attempts + 1 >= self.s.max_attempts || pool.iter().all(|s| part.tried.contains(&s.number));
-        let wait = parked || (part.turned_away && spent);
+        let wait = parked || (part.why == Why::After(Outcome::Rejected) && spent);
         if part.attempts > 0 && wait && self.now - part.last_sent < self.patience(class) {
             return None;
         }
         if parked {
             let rated =
-                |s: &&&Server| self.rate(s, class) * (1.0 - s.failed[class].at(self.now, self.min_aim));
-            return pool.iter().max_by(|a, b| rated(a).total_cmp(&rated(b))).map(|s| s.number);
+                |s: &&&Server| self.rate(s, class) * (1.0 - s.failed[class].at(self.now, self.forgive));
+            let best = pool.iter().max_by(|a, b| rated(a).total_cmp(&rated(b)));
+            return best.map(|s| (s.number, Choice::BestParked));
         }
         prefer(&mut pool, |s| s.parked.is_none());
-        prefer(&mut pool, |s| s.failed[class].at(self.now, self.min_aim) < FAILING);
+        prefer(&mut pool, |s| s.failed[class].at(self.now, self.forgive) < FAILING);
         prefer(&mut pool, |s| !part.tried.contains(&s.number));
         // A record recovers with a few parts. What can't go again needs a longer memory.
         if self.s.classes[class].repeat == Repeat::Unsafe {
-            prefer(&mut pool, |s| s.lost.at(self.now, self.min_aim) < LOSSY);
+            prefer(&mut pool, |s| s.lost.at(self.now, self.forgive) < LOSSY);
         }
         // DR weighed by what the replica completes. An unsafe part can't go again after an error: there
         // its replica's worst record counts, and before speed.
         let speed = |s: &Server| {
-            let trust = |class: usize| 1.0 - s.failed[class].at(self.now, self.min_aim);
+            let trust = |class: usize| 1.0 - s.failed[class].at(self.now, self.forgive);
             let trust = match self.s.classes[class].repeat {
                 Repeat::Unsafe => (0..s.failed.len()).map(trust).fold(1.0, f64::min).powi(TRUST_POWERS.1),
                 Repeat::Safe | Repeat::Keyed { .. } => trust(class).powi(TRUST_POWERS.0),
@@ -748,10 +749,10 @@
         let soon = tied.max(self.s.classes[class].aim * TIE_OF_AIM);
         prefer(&mut pool, |s| finish(s) <= if joins(s) { soon } else { tied });
         let order = |s: &&&Server| (joins(s), s.line.zone == self.s.zone, mix(s.number ^ part.key));
-        pool.iter().max_by_key(order).map(|s| s.number)
+        pool.iter().max_by_key(order).map(|s| (s.number, choice))
     }
 
-    fn send(&mut self, number: u64, index: usize, to: ServerNo) {
+    fn send(&mut self, number: u64, index: usize, to: ServerNo, choice: Choice) {
         let interval = self.interval();
         let Some(query) = self.queries.get(&number) else { return };
         let (until, again) = (self.useful_until(query), query.parts[index].attempts > 0);
@@ -776,26 +777,26 @@
         server.flights += 1;
         server.call = (self.now, if server.call.0 == self.now { server.call.1 + 1 } else { 1 });
         server.cold = (room.map_or(0.0, |(room, _)| room - part.cost), self.now);
-        let (class, sent, cost, load_then) = (query.class, self.now, part.cost, self.load_out);
-        let (idle, cancelled, overtaken) = (server.idle, false, 0);
-        let flight = Flight { server: to, class, sent, cost, load_then, idle, cancelled, overtaken };
+        let (class, sent, cost, idle) = (query.class, self.now, part.cost, server.idle);
+        let flight =
+            Flight { server: to, class, sent, cost, idle, load_then: self.load_out, ..Flight::default() };
         self.load_out += cost;
         let timeout = (until - self.now).max(self.s.tick);
-        let (part, replica) = (part.id.clone(), server.line.id.clone());
+        let (why, part, replica) = (part.why, part.id.clone(), server.line.id.clone());
         self.flights.insert((part.clone(), attempt), flight);
-        self.actions.push(Action::Send { part, replica, timeout });
+        self.actions.push(Action::Send { part, replica, timeout, why, choice });
         if again {
             self.m.further -= 1.0;
             self.note_budget(true);
         }
     }
 
-    fn cancel(&mut self, id: &PartId, attempt: Attempt) {
+    fn cancel(&mut self, id: &PartId, attempt: Attempt, why: Why) {
         if let Some(flight) = self.flights.get_mut(&(id.clone(), attempt)) {
-            if self.s.may_cancel && !flight.cancelled {
-                flight.cancelled = true;
+            if self.s.may_cancel && flight.cancelled.is_none() {
+                flight.cancelled = Some(why);
                 self.load_out = (self.load_out - flight.cost).max(0.0);
-                self.actions.push(Action::Cancel { part: id.clone(), attempt });
+                self.actions.push(Action::Cancel { part: id.clone(), attempt, why });
             }
         }
     }
@@ -804,9 +805,8 @@
 
     /// Ends queries at the right moment and sends again what fell silent.
     fn sweep(&mut self) {
-        let numbers: Vec<u64> = self.queries.keys().copied().collect();
         let step = self.s.tick * SWEEP_TICKS;
-        for number in numbers {
+        for number in self.queries.keys().copied().collect::<Vec<_>>() {
             let Some(query) = self.queries.get(&number) else { continue };
             let class = &self.s.classes[query.class];
             let enough = query.share > 0.0 && query.share >= class.least_share;
@@ -820,15 +820,19 @@
             // Poison: whatever begins a part of it dies, and nothing of it completes. It is not sent again.
             let open = query.resets.iter().filter(|(_, open)| *open).count();
             let poison = query.share == 0.0 && open >= if self.now < self.wary { 1 } else { POISON };
-            let hopeless = poison || class.least_share >= class.whole_from && query.parts.iter().any(dead);
+            let lost = query.parts.iter().find(|p| class.least_share >= class.whole_from && dead(p));
+            let ran = |p: &Part| p.may_have_run.is_some() && class.repeat != Repeat::Safe;
+            let spent = |p: &Part| if ran(p) { Cause::MayHaveRun } else { Cause::AttemptsSpent }(p.shard);
+            let cause = if poison { Some(Cause::Poison) } else { lost.map(spent) };
             if whole || (enough && (self.now >= moment || settled)) {
                 self.note_pace(number, true);
                 self.answer(number, whole);
-            } else if hopeless {
-                self.end_query(number, true);
+            } else if let Some(cause) = cause {
+                self.end_query(number, true, cause);
             } else if late {
+                let cause = self.why_late(query);
                 self.note_pace(number, false);
-                self.end_query(number, true);
+                self.end_query(number, true, cause);
             } else {
                 self.retry_silent(number);
                 self.retry_lost(number);
@@ -836,24 +840,38 @@
         }
     }
 
+    /// What keeps the first part that is missing from coming in.
+    fn why_late(&self, query: &Query) -> Cause {
+        let Some(part) = query.parts.iter().find(|p| !p.done && !p.left_out) else { return Cause::TimeUp };
+        let listed = || self.servers.values().filter(|s| s.line.state != ReplicaState::Gone);
+        let holders: Vec<_> = listed().filter(|s| self.holds(s, part.shard)).collect();
+        match listed().next() {
+            None => Cause::NoList,
+            _ if holders.is_empty() => Cause::NoHolder(part.shard),
+            _ if holders.iter().all(|s| s.line.state == ReplicaState::Draining) => Cause::Drained(part.shard),
+            _ if holders.iter().all(|s| s.parked.is_some()) => Cause::AllParked(part.shard),
+            _ => Cause::TimeUp,
+        }
+    }
+
     /// A replica that goes on answering may still lose parts. Such a part goes elsewhere at once if it may,
     /// at no budget's cost, and counts in the replica's record, which keeps unsafe parts away from it.
     fn retry_lost(&mut self, number: u64) {
         let Some(query) = self.queries.get(&number) else { return };
-        let (class, now, aim) = (query.class, self.now, self.min_aim);
+        let (class, now, forgive) = (query.class, self.now, self.forgive);
         let since = now - self.m.usual.unwrap_or(0.0) * SUSPECT_OF_USUAL;
         for (id, (attempt, server), _, attempts) in query.out_since(since) {
-            let flight = self.flights.get_mut(&(id.clone(), attempt));
-            let Some(flight) = flight.filter(|f| !f.cancelled && f.overtaken >= OVERTAKEN) else { continue };
+            let lost = |f: &&mut Flight| f.cancelled.is_none() && f.overtaken >= OVERTAKEN;
+            let Some(flight) = self.flights.get_mut(&(id.clone(), attempt)).filter(lost) else { continue };
             // It counts once, also where it stays out.
             flight.overtaken = 0;
             if let Some(server) = self.servers.get_mut(&server) {
-                server.failed[class].note(1.0, TRUST_STEP, now, aim);
-                server.lost.note(1.0, SMOOTH, now, aim);
+                server.failed[class].note(1.0, TRUST_STEP, now, forgive);
+                server.lost.note(1.0, SMOOTH, now, forgive);
             }
             if self.s.classes[class].repeat != Repeat::Unsafe && attempts < self.s.max_attempts {
                 self.m.further += 1.0;
-                self.cancel(&id, attempt);
+                self.cancel(&id, attempt, Why::Overtaken);
             }
         }
     }
@@ -874,7 +892,7 @@
             }
             let again = safe && attempts < self.s.max_attempts;
             // Silence on a connection that had been idle, where such are dropped, is not the replica's.
-            let flight = self.flights.get_mut(&(id.clone(), attempt)).filter(|f| !f.cancelled);
+            let flight = self.flights.get_mut(&(id.clone(), attempt)).filter(|f| f.cancelled.is_none());
             let idle = flight.and_then(|f| f.idle.take());
             if let Some(idle) = idle {
                 self.note_idle(idle, true);
@@ -882,7 +900,7 @@
             let dropped = idle.is_some() && self.drops() > DROPS;
             let parked = !dropped && self.park(server, false);
             if again && (dropped || (parked && !none && self.m.further >= 1.0)) {
-                self.cancel(&id, attempt);
+                self.cancel(&id, attempt, if dropped { Why::Dropped } else { Why::Silent });
             }
             if dropped {
                 self.let_go(server);
@@ -912,7 +930,7 @@
     }
 
     /// Refuses a query if no part of it may have had an effect, else fails it.
-    fn end_query(&mut self, number: u64, late: bool) {
+    fn end_query(&mut self, number: u64, late: bool, cause: Cause) {
         let Some(query) = self.queries.get(&number) else { return };
         let class = &self.s.classes[query.class];
         let ran = query.parts.iter().any(|p| p.may_have_run.is_some() || p.out.is_some() || p.done);
@@ -921,9 +939,9 @@
         let safe = class.repeat == Repeat::Safe;
         self.actions.push(if (ran && !safe) || query.second.is_some() || (late && ran) {
             // Only what is safe to repeat is asked back.
-            Action::Fail { query: id, retry_after: if safe { retry_after } else { 0.0 } }
+            Action::Fail { query: id, retry_after: if safe { retry_after } else { 0.0 }, cause }
         } else {
-            Action::Refuse { query: id, retry_after }
+            Action::Refuse { query: id, retry_after, cause }
         });
         self.drop_query(number);
     }
@@ -940,7 +958,7 @@
             self.waiting.remove(&(number, part.shard, index));
             self.parts.remove(&part.id);
             if let Some((attempt, _)) = part.out {
-                self.cancel(&part.id, attempt);
+                self.cancel(&part.id, attempt, Why::Over);
             }
         }
     }
@@ -974,11 +992,6 @@
             self.actions.push(Action::WakeAt(due));
         }
     }
-
-    fn chance(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        (mix(self.rng) >> 11) as f64 / (1u64 << 53) as f64
-    }
 }
 
 impl Query {
@@ -999,14 +1012,3 @@
         }
     }
 }
-
-impl Faded {
-    fn at(self, now: Millis, aim: Millis) -> f64 {
-        self.0 * 0.5f64.powf((now - self.1) / (aim * FORGIVE_AIMS))
-    }
-
-    fn note(&mut self, told: f64, step: f64, now: Millis, aim: Millis) {
-        let known = self.at(now, aim);
-        *self = Faded(known + step * (told - known), now);
-    }
-}
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -81,7 +81,7 @@
     fn handle(&self, request: Message) -> Local<Response> {
         let opaque = request.headers.get("x-opaque-id").map(str::to_string);
         let response = match (request.start.0.as_str(), request.start.1.as_str()) {
-            ("GET", "/healthz") => crate::front::health(&self.door),
+            ("GET", "/healthz") => crate::front::health(&self.door, &self.driver),
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
             ("GET" | "POST", path) => {
                 let index = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
@@ -145,13 +145,13 @@
 fn render(verdict: &Verdict, search: &Search, shards: &[u32], took: u64) -> Response {
     let (whole, pieces) = match verdict {
         Verdict::Served { whole, pieces, .. } => (*whole, pieces),
-        Verdict::Refused { retry_after } => {
-            let why = "the aggregator has no room for this search; asking again is harmless";
-            return back_off(error(429, "rejected_execution_exception", why), *retry_after);
+        Verdict::Refused { retry_after, cause } => {
+            let why = format!("{cause}; asking again is harmless");
+            return back_off(error(429, "rejected_execution_exception", &why), *retry_after);
         }
-        Verdict::Failed { retry_after } => {
-            let why = "too few shards answered in time";
-            return back_off(error(500, "search_phase_execution_exception", why), *retry_after);
+        Verdict::Failed { retry_after, cause } => {
+            let why = cause.to_string();
+            return back_off(error(500, "search_phase_execution_exception", &why), *retry_after);
         }
     };
     let answers = pieces.iter().map(|piece| &piece.value[..]);
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -97,7 +97,7 @@
     fn handle(&self, request: Message) -> Local<Response> {
         let path = request.start.1.split('?').next().unwrap_or("");
         let response = match (request.start.0.as_str(), path) {
-            ("GET", "/healthz") => super::health(&self.door),
+            ("GET", "/healthz") => super::health(&self.door, &self.driver),
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
             ("POST", _) => match self.query(&request, path) {
                 Ok((held, pending)) => {
@@ -192,9 +192,12 @@
                 Err(error) => Response::text(500, &error.to_string()),
             }
         }
-        Verdict::Refused { retry_after } => {
-            Response::text(503, "refused: trying again is harmless").retry_after(*retry_after)
+        Verdict::Refused { retry_after, cause } => {
+            let why = format!("refused, trying again is harmless: {cause}");
+            Response::text(503, &why).retry_after(*retry_after)
+        }
+        Verdict::Failed { retry_after, cause } => {
+            Response::text(500, &format!("failed: {cause}")).retry_after(*retry_after)
         }
-        Verdict::Failed { retry_after } => Response::text(500, "failed").retry_after(*retry_after),
     }
 }
--- a/src/hash.rs
+++ b/src/hash.rs
@@ -8,6 +8,12 @@
     x ^ (x >> 31)
 }
 
+/// A number from 0 to 1 (1 excluded) by chance, and the next state of its source (SplitMix64, as above).
+pub fn draw(state: &mut u64) -> f64 {
+    *state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    (mix(*state) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// A text as a number: FNV-1a, scattered.
 pub fn hash(text: &str) -> u64 {
     mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod counters;
 pub mod decide;
 pub mod directory;
+pub mod faded;
 pub mod front;
 pub mod handover;
 pub mod hash;
--- a/src/trace/convert.rs
+++ b/src/trace/convert.rs
@@ -9,8 +9,8 @@
 use ironpaddle_trace::record::{self, Kind, Line, ListKind, Load, Standing};
 
 use crate::api::{
-    self, Action, Attempt, AttemptEnded, ClassIndex, Event, ListNews, LoadReport, Millis, NewPart, NewQuery,
-    Outcome, PartId, QueryId, Replica, ReplicaId, ReplicaState, Shard, TenantIndex,
+    self, Action, Attempt, AttemptEnded, Cause, Choice, ClassIndex, Event, ListNews, LoadReport, Millis,
+    NewPart, NewQuery, Outcome, PartId, QueryId, Replica, ReplicaId, ReplicaState, Shard, TenantIndex, Why,
 };
 
 /// The module's name of a query.
@@ -60,6 +60,36 @@
     }
 }
 
+fn why_out(why: Why) -> record::Why {
+    match why {
+        Why::First => record::Why::First,
+        Why::After(outcome) => record::Why::After(outcome_out(outcome)),
+        Why::Silent => record::Why::Silent,
+        Why::Overtaken => record::Why::Overtaken,
+        Why::Dropped => record::Why::Dropped,
+        Why::Over => record::Why::Over,
+    }
+}
+
+/// A cause as a record.
+pub fn cause_out(cause: Cause) -> record::Cause {
+    match cause {
+        Cause::NoList => record::Cause::NoList,
+        Cause::NoHolder(shard) => record::Cause::NoHolder(shard.0),
+        Cause::Drained(shard) => record::Cause::Drained(shard.0),
+        Cause::AllParked(shard) => record::Cause::AllParked(shard.0),
+        Cause::BeyondShare => record::Cause::BeyondShare,
+        Cause::PredictedLate => record::Cause::PredictedLate,
+        Cause::TimeUp => record::Cause::TimeUp,
+        Cause::MayHaveRun(shard) => record::Cause::MayHaveRun(shard.0),
+        Cause::AttemptsSpent(shard) => record::Cause::AttemptsSpent(shard.0),
+        Cause::Poison => record::Cause::Poison,
+        Cause::MaxOpen => record::Cause::MaxOpen,
+        Cause::Overdue => record::Cause::Overdue,
+        Cause::TooLittle => record::Cause::TooLittle,
+    }
+}
+
 fn load_out(load: &LoadReport) -> Load {
     Load {
         queue: load.queue.map(Num::of),
@@ -219,21 +249,29 @@
 /// An action as a record.
 pub fn action_out(batch: &mut Batch, now: Millis, action: &Action) -> record::Action {
     match action {
-        Action::Send { part, replica, timeout } => {
+        Action::Send { part, replica, timeout, why, choice } => {
             let (query, shard) = place(part);
             let run_store = batch.name(Kind::RunStore, &replica.0);
-            record::Action::Send { query, shard, run_store, timeout: Num::of(*timeout) }
+            let choice = match choice {
+                Choice::Least => record::Choice::Least,
+                Choice::Only => record::Choice::Only,
+                Choice::BestParked => record::Choice::BestParked,
+            };
+            let (timeout, why) = (Num::of(*timeout), why_out(*why));
+            record::Action::Send { query, shard, run_store, timeout, why, choice }
         }
-        Action::Cancel { part, attempt } => {
+        Action::Cancel { part, attempt, why } => {
             let (query, shard) = place(part);
-            record::Action::Cancel { query, shard, attempt: attempt.0 }
+            record::Action::Cancel { query, shard, attempt: attempt.0, why: why_out(*why) }
         }
         Action::Answer { query, whole } => record::Action::Answer { query: number(query), whole: *whole },
-        Action::Refuse { query, retry_after } => {
-            record::Action::Refuse { query: number(query), retry_after: Num::of(*retry_after) }
+        Action::Refuse { query, retry_after, cause } => {
+            let (query, retry_after, cause) = (number(query), Num::of(*retry_after), cause_out(*cause));
+            record::Action::Refuse { query, retry_after, cause }
         }
-        Action::Fail { query, retry_after } => {
-            record::Action::Fail { query: number(query), retry_after: Num::of(*retry_after) }
+        Action::Fail { query, retry_after, cause } => {
+            let (query, retry_after, cause) = (number(query), Num::of(*retry_after), cause_out(*cause));
+            record::Action::Fail { query, retry_after, cause }
         }
         Action::Probe { replica } => record::Action::Probe(batch.name(Kind::RunStore, &replica.0)),
         Action::CloseIdle { replica } => record::Action::CloseIdle(batch.name(Kind::RunStore, &replica.0)),
--- a/src/trace/tape.rs
+++ b/src/trace/tape.rs
@@ -17,7 +17,7 @@
 };
 
 use super::convert;
-use crate::api::{Action, Event, Millis, Settings};
+use crate::api::{Action, Cause, Event, Millis, Settings};
 use crate::counters::Counters;
 
 /// A block is closed at this size, in bytes before compression, or at this age, in milliseconds: what a crash takes.
@@ -61,6 +61,8 @@
     pub taken: Millis,
     /// How it ended.
     pub how: How,
+    /// Why it was refused or failed, if it was.
+    pub cause: Option<Cause>,
     /// Parts that were in.
     pub parts_in: usize,
     /// Parts that were asked for.
@@ -292,6 +294,7 @@
                 group: ended.group.map(|group| batch.name(Kind::Group, group)),
                 took: Num::of(at - ended.taken),
                 how: ended.how,
+                cause: ended.cause.map(convert::cause_out),
                 parts_in: ended.parts_in as u32,
                 parts: ended.parts as u32,
             })
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,7 +4,7 @@
 mod fixture;
 
 use fixture::{calls, orders};
-use ironpaddle::api::{Outcome, ReplicaState};
+use ironpaddle::api::{Cause, Outcome, ReplicaState};
 use ironpaddle::core::{Ask, CallEnd, Core, Listed, News, NotTaken, Order, QueryNo, Verdict};
 use ironpaddle::settings::Info;
 use serde_json::json;
@@ -99,7 +99,9 @@
     core.take_in(0.0, ask("search", 2)).unwrap();
     let second = core.take_in(0.0, ask("search", 1)).unwrap();
     let refused = finals(&orders(&mut core));
-    let [(no, Verdict::Refused { retry_after })] = refused[..] else { panic!("{refused:?}") };
+    let [(no, Verdict::Refused { retry_after, cause: Cause::MaxOpen })] = refused[..] else {
+        panic!("{refused:?}")
+    };
     assert_eq!(no, second);
     assert!(retry_after > 0.0);
     core.step(5.0);
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -105,7 +105,7 @@
         }
         for action in router.step(now, events) {
             match action {
-                Action::Send { part, replica, timeout } => {
+                Action::Send { part, replica, timeout, .. } => {
                     let name = part.0.to_string();
                     let owner = name.split('.').next().unwrap_or_default().to_string();
                     prop_assert!(open.contains_key(&owner), "sent {name} after its query ended");
@@ -132,7 +132,7 @@
                     known.out = true;
                     known.attempts += 1;
                 }
-                Action::Cancel { part, attempt } => {
+                Action::Cancel { part, attempt, .. } => {
                     prop_assert!(may_cancel);
                     if let Some(o) = out.get_mut(&(part.0.to_string(), attempt.0)) {
                         (o.at, o.outcome) = (now, Outcome::Cancelled);
--- a/tests/sockets/trace.rs
+++ b/tests/sockets/trace.rs
@@ -1,5 +1,6 @@
 //! Recordings of the real program: what the command line says of them equals what the clients saw.
 
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -92,12 +93,40 @@
         let taken = lines.lines().find(|line| line.contains("Taken")).unwrap();
         let name = taken.split("\"name\":\"").nth(1).unwrap().split('"').next().unwrap();
         let why = String::from_utf8(folder.tool(&["why", name]).stdout).unwrap();
-        for words in ["failed", "part 1: attempt 0 goes to s-", "its last byte is written", "errored at s-"] {
+        for words in [
+            "must not run twice",
+            "part 1: attempt 0 (the first) goes to s-",
+            "its last byte is written",
+            "errored at s-",
+        ] {
             assert!(why.contains(words), "{words}: {why}");
         }
     }
 }
 
+#[test]
+fn without_a_list_clients_health_figures_and_trace_name_that_cause() {
+    for wire in WIRES {
+        let folder = Folder::new();
+        let aggregator = Aggregator::changed(wire, 1, |config, _| {
+            key(&folder, config, true);
+            config["known"] = json!({"index": 0, "snapshot": true, "endpoints": []});
+        });
+        let mut stream = aggregator.connect();
+        stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
+        let health = crate::aggregator::answer(&mut stream);
+        assert_eq!((health.status, health.body.contains("no run store")), (503, true), "{}", health.body);
+        let answer = aggregator.ask("run-lookup", &[0], 300);
+        assert!(answer.refused() && answer.body.contains("no run store is listed"), "{}", answer.body);
+        let stats = aggregator.call("GET", "/stats").body;
+        assert!(stats.contains("aggregator.causes.run-lookup.no_list:1|c"), "{stats}");
+        aggregator.logged("cause=no_list");
+        end(aggregator);
+        let summary = folder.json(&["summary", "--json"]);
+        assert_eq!(summary["causes"], json!({"run-lookup": {"no_list": 1}}));
+    }
+}
+
 #[test]
 fn a_killed_process_leaves_what_it_had_written() {
     let folder = Folder::new();
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -19,7 +19,7 @@
     let after = run(&mut router, 15.0, 600.0);
     assert_eq!(parked(&after), [sent[0].1.clone()]);
     assert!(sends(&after).is_empty());
-    assert!(after.contains(&Action::Cancel { part: "q1.0".into(), attempt: Attempt(0) }));
+    assert!(after.contains(&Action::Cancel { part: "q1.0".into(), attempt: Attempt(0), why: Why::Silent }));
     let again = sends(&router.step(605.0, vec![ended("q1.0", 0, &sent[0].1, Outcome::Cancelled, 595.0)]));
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].1, sent[0].1);
@@ -391,10 +391,8 @@
     s.classes[0].aim = 50_000.0;
     let (mut router, now) = settled(s, &["a", "b"]);
     let (lost, actions, now) = lose_one(&mut router, now, "a");
-    assert!(
-        actions.contains(&Action::Cancel { part: lost.as_str().into(), attempt: Attempt(0) }),
-        "{actions:?}"
-    );
+    let (part, attempt, why) = (lost.as_str().into(), Attempt(0), Why::Overtaken);
+    assert!(actions.contains(&Action::Cancel { part, attempt, why }), "{actions:?}");
     assert!(parked(&actions).is_empty(), "it answers others");
     let again = sends(&router.step(now + 5.0, vec![ended(&lost, 0, "a", Outcome::Cancelled, 1.0)]));
     assert_eq!(again, [(lost, "b".to_string())]);
