--- /dev/null
+++ b/crates/lab/src/aggregators.rs
@@ -0,0 +1,145 @@
+//! Aggregators: real processes of the program, on loopback.
+
+use std::fs::File;
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use crate::stores::read_message;
+
+/// How long a start may take.
+const START: Duration = Duration::from_secs(20);
+
+/// An aggregator.
+pub struct Aggregator {
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// Where operators call.
+    pub operator: SocketAddr,
+    program: PathBuf,
+    dir: PathBuf,
+    child: Option<Child>,
+    /// CPU of processes that are over, in milliseconds.
+    cpu_ms: f64,
+}
+
+/// An address that is free just now.
+fn free() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+impl Aggregator {
+    /// Starts one by a configuration, whose addresses are set here.
+    ///
+    /// # Errors
+    /// If it does not come up.
+    pub fn start(program: &Path, dir: &Path, mut config: Value) -> io::Result<Self> {
+        std::fs::create_dir_all(dir)?;
+        let (address, operator) = (free()?, free()?);
+        config["listen"] = address.to_string().into();
+        config["operator"] = operator.to_string().into();
+        std::fs::write(dir.join("config.json"), config.to_string())?;
+        let (program, dir) = (program.to_path_buf(), dir.to_path_buf());
+        let mut aggregator = Aggregator { address, operator, program, dir, child: None, cpu_ms: 0.0 };
+        aggregator.spawn()?;
+        Ok(aggregator)
+    }
+
+    fn spawn(&mut self) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(self.dir.join("log"))?;
+        let mut command = Command::new(&self.program);
+        // The lab is the aggregator's program itself unless another one is named.
+        if std::env::current_exe().is_ok_and(|own| own == self.program) {
+            command.arg("aggregator");
+        }
+        let child = command
+            .arg(self.dir.join("config.json"))
+            .env("TMPDIR", &self.dir)
+            .stdout(log.try_clone()?)
+            .stderr(log);
+        self.child = Some(child.spawn()?);
+        let began = Instant::now();
+        while !matches!(self.call("GET", "/healthcheck"), Ok((200, _))) {
+            if began.elapsed() > START {
+                return Err(io::Error::other(format!(
+                    "the aggregator does not come up: see {}",
+                    self.dir.join("log").display()
+                )));
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        Ok(())
+    }
+
+    /// Makes an operator's call.
+    ///
+    /// # Errors
+    /// If there is no answer.
+    pub fn call(&self, method: &str, path: &str) -> io::Result<(u16, String)> {
+        let mut stream = TcpStream::connect(self.operator)?;
+        stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+        stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: lab\r\n\r\n").as_bytes())?;
+        let (first, _, body) =
+            read_message(&mut BufReader::new(stream))?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let status = first
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok())
+            .ok_or(io::ErrorKind::InvalidData)?;
+        Ok((status, String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    /// The CPU that its processes have used, in milliseconds, as the kernel counts it in hundredths of a second.
+    pub fn cpu_ms(&self) -> f64 {
+        let stat = self
+            .child
+            .as_ref()
+            .and_then(|child| std::fs::read_to_string(format!("/proc/{}/stat", child.id())).ok());
+        let ticks = stat.and_then(|stat| {
+            let words: Vec<f64> =
+                stat.rsplit(") ").next()?.split(' ').filter_map(|word| word.parse().ok()).collect();
+            // Behind the name and the state, which is no number: user and system time are the 11th and 12th.
+            Some(words.get(10)? + words.get(11)?)
+        });
+        self.cpu_ms + ticks.unwrap_or(0.0) * 10.0
+    }
+
+    /// Kills it and starts it again.
+    ///
+    /// # Errors
+    /// If it does not come up.
+    pub fn kill_and_start(&mut self) -> io::Result<()> {
+        self.cpu_ms = self.cpu_ms();
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        self.spawn()
+    }
+
+    /// Ends it in good order; says whether it did so by itself.
+    ///
+    /// # Errors
+    /// If it cannot be told.
+    pub fn end(&mut self) -> io::Result<bool> {
+        self.cpu_ms = self.cpu_ms();
+        let Some(mut child) = self.child.take() else { return Ok(false) };
+        Command::new("kill").args(["-s", "TERM", &child.id().to_string()]).status()?;
+        Ok(child.wait()?.success())
+    }
+}
+
+impl Drop for Aggregator {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/check.rs
@@ -0,0 +1,232 @@
+//! The rules, checked from outside on what run stores and clients saw.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+/// A run store that is told to drain may get something new for so long, in milliseconds, with some slack.
+const DRAIN_MS: f64 = 2050.0;
+/// Attempts that a part may have.
+const MOST_ATTEMPTS: usize = 3;
+/// An answer may come so late after its time, in milliseconds: the client's own threads take some of it.
+const SLACK_MS: f64 = 250.0;
+
+/// A part that arrived at a run store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// When.
+    pub at: f64,
+    /// Where.
+    pub store: usize,
+    /// Its id: the query's, a dot, the shard.
+    pub part: String,
+    /// Its shard.
+    pub shard: u32,
+    /// Whether it ran.
+    pub ran: bool,
+}
+
+/// An answer as a client saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    /// The query's id.
+    pub query: String,
+    /// When it was asked.
+    pub asked: f64,
+    /// When the answer was in.
+    pub at: f64,
+    /// How long its client was to wait, in milliseconds.
+    pub wait: f64,
+    /// Whether its parts may run twice.
+    pub safe: bool,
+    /// Whether it was refused.
+    pub refused: bool,
+    /// Whether it was marked whole.
+    pub whole: bool,
+    /// Whether it was answered.
+    pub served: bool,
+    /// The shards asked for, and those answered with their values.
+    pub asked_for: Vec<(u32, f64)>,
+    /// See `asked_for`.
+    pub values: Vec<(u32, String)>,
+    /// The least share of weight that an answer needs.
+    pub least_share: f64,
+}
+
+#[derive(Default)]
+struct Seen {
+    parts: BTreeMap<String, Vec<(f64, usize, bool)>>,
+    /// Run stores that drain, and since when that was told to all.
+    drains: BTreeMap<usize, f64>,
+    /// Parts that may run but once.
+    once: Vec<String>,
+    broken: BTreeMap<&'static str, (u64, String)>,
+}
+
+/// Checks the rules while the run goes on.
+#[derive(Default)]
+pub struct Checker {
+    seen: Mutex<Seen>,
+}
+
+impl Seen {
+    fn breaks(&mut self, rule: &'static str, what: impl FnOnce() -> String) {
+        self.broken.entry(rule).or_insert_with(|| (0, what())).0 += 1;
+    }
+}
+
+impl Checker {
+    fn with<T>(&self, act: impl FnOnce(&mut Seen) -> T) -> T {
+        act(&mut self.seen.lock().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    /// Discovery has told all aggregators that a run store drains, or does no more.
+    pub fn drains(&self, store: usize, since: Option<f64>) {
+        self.with(|seen| match since {
+            Some(at) => drop(seen.drains.insert(store, at)),
+            None => drop(seen.drains.remove(&store)),
+        });
+    }
+
+    /// A part arrived.
+    pub fn arrived(&self, arrival: Arrival) {
+        self.with(|seen| {
+            if let Some(since) = seen.drains.get(&arrival.store).copied() {
+                if arrival.at > since + DRAIN_MS {
+                    let late = arrival.at - since;
+                    seen.breaks("drain", || {
+                        format!("s-{} got {} {late:.0} ms after it", arrival.store, arrival.part)
+                    });
+                }
+            }
+            let attempts = seen.parts.entry(arrival.part.clone()).or_default();
+            attempts.push((arrival.at, arrival.store, arrival.ran));
+            if attempts.len() > MOST_ATTEMPTS {
+                seen.breaks("attempts", || format!("{} had more than {MOST_ATTEMPTS}", arrival.part));
+            }
+        });
+    }
+
+    /// An answer was read; `value` says what a run store answers for a part.
+    pub fn answered(&self, answer: &Answer, value: impl Fn(&str) -> String) {
+        self.with(|seen| {
+            let late = answer.at - answer.asked - answer.wait;
+            if late > SLACK_MS {
+                seen.breaks("in time", || format!("{} was answered {late:.0} ms late", answer.query));
+            }
+            let ran = |shard: &u32| {
+                seen.parts
+                    .get(&format!("{}.{shard}", answer.query))
+                    .is_some_and(|a| a.iter().any(|(_, _, ran)| *ran))
+            };
+            if answer.refused && !answer.safe && answer.asked_for.iter().any(|(shard, _)| ran(shard)) {
+                seen.breaks("refusals", || format!("{} was refused and had run", answer.query));
+            }
+            if !answer.served {
+                return;
+            }
+            let weight: f64 = answer
+                .asked_for
+                .iter()
+                .filter(|(shard, _)| answer.values.iter().any(|(had, _)| had == shard))
+                .map(|(_, weight)| weight)
+                .sum();
+            if weight + 0.001 < answer.least_share {
+                seen.breaks("least share", || format!("{} rests on {weight:.2}", answer.query));
+            }
+            if answer.whole && answer.values.len() < answer.asked_for.len() {
+                seen.breaks("honest", || format!("{} is marked whole and is not", answer.query));
+            }
+            for (shard, had) in &answer.values {
+                let part = format!("{}.{shard}", answer.query);
+                if *had != value(&part) {
+                    seen.breaks("honest", || {
+                        format!("{part} was answered with {had}, which no run store made")
+                    });
+                }
+            }
+        });
+    }
+
+    /// A query of some shards was asked.
+    pub fn asked(&self, query: String, shards: impl Iterator<Item = u32>, safe: bool) {
+        if !safe {
+            self.with(|seen| seen.once.extend(shards.map(|shard| format!("{query}.{shard}"))));
+        }
+    }
+
+    /// The rules that were broken, at the end of a run: how often, and the first time.
+    pub fn broken(&self) -> BTreeMap<String, (u64, String)> {
+        self.with(|seen| {
+            for part in std::mem::take(&mut seen.once) {
+                let runs =
+                    seen.parts.get(&part).map_or(0, |all| all.iter().filter(|(_, _, ran)| *ran).count());
+                if runs > 1 {
+                    seen.breaks("duplicate", || format!("{part} ran {runs} times"));
+                }
+            }
+        });
+        self.with(|seen| {
+            seen.broken.iter().map(|(rule, found)| ((*rule).to_string(), found.clone())).collect()
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn answer(query: &str) -> Answer {
+        Answer {
+            query: query.into(),
+            asked: 0.0,
+            at: 10.0,
+            wait: 100.0,
+            safe: false,
+            refused: false,
+            whole: true,
+            served: true,
+            asked_for: vec![(1, 0.5), (2, 0.5)],
+            values: vec![(1, "v".into()), (2, "v".into())],
+            least_share: 0.4,
+        }
+    }
+
+    fn part(query: &str, at: f64, ran: bool) -> Arrival {
+        Arrival { at, store: 3, part: format!("{query}.1"), shard: 1, ran }
+    }
+
+    #[test]
+    fn each_rule_is_found_broken_and_a_sound_run_breaks_none() {
+        let v = |_: &str| "v".to_string();
+        let checker = Checker::default();
+        checker.arrived(part("a", 5.0, true));
+        checker.answered(&answer("a"), v);
+        checker.asked("a".into(), [1].into_iter(), false);
+        assert!(checker.broken().is_empty());
+        checker.drains(3, Some(100.0));
+        checker.arrived(part("b", 2000.0, true));
+        assert!(checker.broken().is_empty(), "it has 2 s");
+        checker.arrived(part("b", 2200.0, true));
+        checker.answered(&Answer { refused: true, served: false, ..answer("b") }, v);
+        checker.asked("b".into(), [1].into_iter(), false);
+        checker.drains(3, None);
+        for at in 0..4 {
+            checker.arrived(part("c", 5000.0 + f64::from(at), false));
+        }
+        checker.answered(&Answer { at: 1000.0, ..answer("c") }, v);
+        checker.answered(&Answer { values: vec![(1, "v".into())], ..answer("d") }, v);
+        checker.answered(&Answer { values: vec![], whole: false, ..answer("e") }, v);
+        checker.answered(&answer("f"), |_| "another".into());
+        let broken: Vec<_> = checker.broken().into_iter().map(|(rule, (count, _))| (rule, count)).collect();
+        let expected = [
+            ("attempts", 1),
+            ("drain", 1),
+            ("duplicate", 1),
+            ("honest", 3),
+            ("in time", 1),
+            ("least share", 1),
+            ("refusals", 1),
+        ];
+        assert_eq!(broken, expected.map(|(rule, count)| (rule.to_string(), count)));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/clients.rs
@@ -0,0 +1,325 @@
+//! Clients: queries at times that the seed sets, whatever becomes of earlier ones.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use serde_json::{json, Value};
+
+use crate::check::Answer;
+use crate::stores::read_message;
+use crate::Api;
+
+/// A class, as the settings have it.
+pub struct Class {
+    /// Its name.
+    pub name: &'static str,
+    /// Its share of queries.
+    pub share: f64,
+    /// The wanted time and the give-up time, in milliseconds.
+    pub aim: f64,
+    /// See `aim`.
+    pub deadline: f64,
+    /// Whether parts may run twice.
+    pub safe: bool,
+    /// The least share of weight of an answer.
+    pub least_share: f64,
+    /// The worth of an answer.
+    pub worth: f64,
+}
+
+/// The classes.
+pub const CLASSES: [Class; 3] = [
+    Class {
+        name: "run-search",
+        share: 0.22,
+        aim: 2000.0,
+        deadline: 4000.0,
+        safe: true,
+        least_share: 0.4,
+        worth: 3.0,
+    },
+    Class {
+        name: "run-lookup",
+        share: 0.56,
+        aim: 2000.0,
+        deadline: 6000.0,
+        safe: true,
+        least_share: 1.0,
+        worth: 1.0,
+    },
+    Class {
+        name: "shift-entry",
+        share: 0.22,
+        aim: 1500.0,
+        deadline: 5000.0,
+        safe: false,
+        least_share: 1.0,
+        worth: 2.0,
+    },
+];
+
+/// The groups and their shares.
+pub const GROUPS: [(&str, f64); 3] = [("vaal-muon", 0.49), ("cederberg-nu", 0.36), ("sutherland-cal", 0.15)];
+
+/// A query to be asked.
+#[derive(Debug, Clone)]
+pub struct Query {
+    /// Its id.
+    pub id: String,
+    /// The place of its class.
+    pub class: usize,
+    /// Its group.
+    pub group: &'static str,
+    /// Its shards and their weights.
+    pub parts: Vec<(u32, f64)>,
+    /// Whether it is a repeat.
+    pub retry: bool,
+}
+
+/// Draws a query.
+pub fn draw(random: &mut fastrand::Rng, no: u64, shards: u32, api: Api) -> Query {
+    let at = |shares: &[f64], point: f64| {
+        let mut sum = 0.0;
+        shares.iter().position(|share| {
+            sum += share;
+            point < sum
+        })
+    };
+    let class = at(&CLASSES.map(|class| class.share), random.f64()).unwrap_or(0);
+    let group = at(&GROUPS.map(|(_, share)| share), random.f64()).unwrap_or(0);
+    let count = match class {
+        0 => shards,
+        1 => random.u32(3..=5.min(shards)),
+        _ => 1,
+    };
+    let mut all: Vec<u32> = (0..shards).collect();
+    random.shuffle(&mut all);
+    all.truncate(count as usize);
+    // A few parts of a run-search weigh much more than the rest; the OpenSearch-style API knows no weights.
+    let skew = if class == 0 && api == Api::Platform { 0.9 } else { 0.0 };
+    let weights: Vec<f64> = (1..=count).map(|rank| 1.0 / f64::from(rank).powf(skew)).collect();
+    let sum: f64 = weights.iter().sum();
+    // Six digits are enough, and what they miss goes to the last.
+    let mut parts: Vec<(u32, f64)> = all
+        .into_iter()
+        .zip(&weights)
+        .map(|(shard, weight)| (shard, (weight / sum * 1e6).floor() / 1e6))
+        .collect();
+    let rest = 1.0 - parts.iter().map(|(_, weight)| weight).sum::<f64>();
+    if let Some((_, last)) = parts.last_mut() {
+        *last += rest;
+    }
+    Query {
+        id: format!("c{no:x}-{:08x}", random.u32(..)),
+        class,
+        group: GROUPS[group].0,
+        parts,
+        retry: false,
+    }
+}
+
+/// How a query ended, as its client saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Answered.
+    Answered {
+        /// Whether whole.
+        whole: bool,
+    },
+    /// Refused: 429 or 503.
+    Refused,
+    /// Failed: any other answer.
+    Failed,
+    /// There was no answer: the connection was refused, broke, or said nothing.
+    Lost,
+}
+
+/// Asks, and waits for the answer.
+pub fn ask(
+    to: SocketAddr,
+    api: Api,
+    query: &Query,
+    asked: f64,
+    clock: &crate::clock::Clock,
+) -> (End, Answer) {
+    let class = &CLASSES[query.class];
+    let mut answer = Answer {
+        query: query.id.clone(),
+        asked,
+        at: asked,
+        wait: class.deadline,
+        safe: class.safe,
+        refused: false,
+        whole: false,
+        served: false,
+        asked_for: query.parts.clone(),
+        values: Vec::new(),
+        least_share: class.least_share,
+    };
+    let end = match call(to, api, query) {
+        Ok((200, body)) => {
+            answer.served = true;
+            read_values(api, &body, &mut answer);
+            End::Answered { whole: answer.whole }
+        }
+        Ok((429 | 503, _)) => End::Refused,
+        Ok(_) => End::Failed,
+        Err(_) => End::Lost,
+    };
+    answer.at = clock.now();
+    answer.refused = end == End::Refused;
+    (end, answer)
+}
+
+fn call(to: SocketAddr, api: Api, query: &Query) -> io::Result<(u16, Value)> {
+    let class = &CLASSES[query.class];
+    let (name, wait) = (class.name, class.deadline);
+    let (target, body) = match api {
+        Api::Platform => {
+            let parts: Vec<_> =
+                query.parts.iter().map(|(shard, weight)| json!({"slice": shard, "mass": weight})).collect();
+            (format!("/{name}"), json!({"slices": parts, "filter": "c41e77d0"}))
+        }
+        Api::Opensearch => {
+            let list: Vec<_> = query.parts.iter().map(|(shard, _)| shard.to_string()).collect();
+            let target =
+                format!("/{name}/_search?preference=_shards:{}&timeout={wait}ms&size=100", list.join(","));
+            (target, json!({"query": {"match_all": {}}}))
+        }
+    };
+    let body = body.to_string();
+    let retried = if query.retry { "X-Retried: 1\r\n" } else { "" };
+    let head = format!(
+        "POST {target} HTTP/1.1\r\nHost: lab\r\nX-Request-ID: {id}\r\nX-Opaque-Id: {id}\r\nX-Priority-Class: {name}\r\n\
+         X-Tenant-Id: {group}\r\nX-Timeout: {wait}m\r\n{retried}Connection: close\r\nContent-Type: application/json\r\n\
+         Content-Length: {length}\r\n\r\n{body}",
+        id = query.id,
+        group = query.group,
+        length = body.len(),
+    );
+    let mut stream = TcpStream::connect(to)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_secs_f64(wait / 1000.0 + 2.0)))?;
+    stream.write_all(head.as_bytes())?;
+    let (first, _, body) = read_message(&mut BufReader::new(stream))?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let status =
+        first.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(io::ErrorKind::InvalidData)?;
+    Ok((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+}
+
+fn read_values(api: Api, body: &Value, answer: &mut Answer) {
+    match api {
+        Api::Platform => {
+            answer.whole = body["entire"] == json!(true);
+            for item in body["items"].as_array().into_iter().flatten() {
+                let shard = item["slice"].as_u64().unwrap_or(u64::MAX) as u32;
+                answer.values.push((shard, item["body"].as_str().unwrap_or("").to_string()));
+            }
+        }
+        Api::Opensearch => {
+            answer.whole = body["timed_out"] == json!(false);
+            for hit in body["hits"]["hits"].as_array().into_iter().flatten() {
+                if let Some((shard, value)) = hit["_id"].as_str().and_then(|id| id.split_once(':')) {
+                    answer.values.push((shard.parse().unwrap_or(u32::MAX), value.to_string()));
+                }
+            }
+        }
+    }
+}
+
+/// The ends of a class or group, as clients saw them.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Ends {
+    /// Queries asked, repeats included.
+    pub asked: u64,
+    /// Answered.
+    pub answered: u64,
+    /// Of these, whole, and within the wanted time.
+    pub whole: u64,
+    /// See `whole`.
+    pub in_time: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Without any answer.
+    pub lost: u64,
+    /// Of those answered, percentiles of the time in milliseconds.
+    pub latency_ms: BTreeMap<&'static str, f64>,
+}
+
+/// A histogram of microseconds, up to ten minutes, to three digits.
+fn histogram() -> Histogram<u32> {
+    Histogram::new_with_max(600_000_000, 3).unwrap_or_else(|_| unreachable!("these bounds are sound"))
+}
+
+/// Live counts.
+#[derive(Default)]
+pub struct Board {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    classes: BTreeMap<&'static str, (Ends, Option<Histogram<u32>>)>,
+    groups: BTreeMap<&'static str, Ends>,
+    ends: BTreeMap<String, End>,
+}
+
+impl Board {
+    fn with<T>(&self, act: impl FnOnce(&mut Inner) -> T) -> T {
+        act(&mut self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    /// A query had its end after some time.
+    pub fn note(&self, query: &Query, end: End, took: f64) {
+        let class = &CLASSES[query.class];
+        self.with(|inner| {
+            inner.ends.insert(query.id.clone(), end);
+            let (of_class, latencies) = inner.classes.entry(class.name).or_default();
+            if let End::Answered { .. } = end {
+                let latencies = latencies.get_or_insert_with(histogram);
+                latencies.saturating_record((took * 1000.0) as u64);
+            }
+            for ends in [of_class, inner.groups.entry(query.group).or_default()] {
+                ends.asked += 1;
+                match end {
+                    End::Answered { whole } => {
+                        ends.answered += 1;
+                        ends.whole += u64::from(whole);
+                        ends.in_time += u64::from(took <= class.aim);
+                    }
+                    End::Refused => ends.refused += 1,
+                    End::Failed => ends.failed += 1,
+                    End::Lost => ends.lost += 1,
+                }
+            }
+        });
+    }
+
+    /// The counts by class and by group.
+    pub fn counts(&self) -> (BTreeMap<&'static str, Ends>, BTreeMap<&'static str, Ends>) {
+        self.with(|inner| {
+            let class = |(name, (ends, latencies)): (&&'static str, &(Ends, Option<Histogram<u32>>))| {
+                let mut ends = ends.clone();
+                for (title, quantile) in [("p50", 0.5), ("p90", 0.9), ("p99", 0.99)] {
+                    if let Some(latencies) = latencies {
+                        ends.latency_ms.insert(title, latencies.value_at_quantile(quantile) as f64 / 1000.0);
+                    }
+                }
+                (*name, ends)
+            };
+            (inner.classes.iter().map(class).collect(), inner.groups.clone())
+        })
+    }
+
+    /// The end of each query by its id.
+    pub fn ends(&self) -> BTreeMap<String, End> {
+        self.with(|inner| inner.ends.clone())
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,60 @@
+//! The project's lab: everything an aggregator meets, on loopback, with load and troubles, under a checker of the rules.
+
+mod aggregators;
+mod check;
+mod clients;
+mod clock;
+mod demo;
+mod discovery;
+mod model;
+mod report;
+mod scenario;
+mod stores;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+
+/// What clients, aggregators and run stores speak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Api {
+    /// The platform's protocol, and frames.
+    Platform,
+    /// The OpenSearch-style API.
+    Opensearch,
+}
+
+#[derive(Debug, Parser)]
+#[command(name = "ironpaddle-lab", version, about = "The lab of ironpaddle: all on loopback.")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Start run stores, discovery, aggregators and clients, and show queries being answered.
+    Demo(demo::Options),
+    /// Be an aggregator; the demo starts such processes of itself.
+    #[command(hide = true)]
+    Aggregator {
+        /// Its configuration.
+        config: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Demo(options) => demo::run(&options),
+        Command::Aggregator { config } => ironpaddle::service::run(&config).map(|()| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(message) => {
+            eprintln!("ironpaddle-lab: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,168 @@
+//! Scenarios: what goes wrong when, a line each.
+//!
+//! ```text
+//! # Some run stores die together and come back cold.
+//! at 20s kill 3 for 15s
+//! at 25s slow s-1 by 4 for 10s
+//! at 30s drain s-2 for 10s
+//! at 40s aggregator kill
+//! ```
+//! Run stores are named (`s-1`) or counted (`3`: so many, chosen by the seed). Times are of the run's beginning.
+
+use winnow::ascii::{alpha1, digit1, float, space1, till_line_ending};
+use winnow::combinator::{alt, cut_err, opt, preceded, terminated};
+use winnow::error::{ContextError, StrContext};
+use winnow::prelude::*;
+
+/// Which run stores.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Which {
+    /// The one of this number.
+    One(usize),
+    /// So many, chosen by the seed.
+    Some(usize),
+}
+
+/// What happens.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    /// Processes die and come back cold.
+    Kill(Which, f64),
+    /// They work so many times slower.
+    Slow(Which, f64, f64),
+    /// They are listed as draining.
+    Drain(Which, f64),
+    /// They say no word, with connections open.
+    Mute(Which, f64),
+    /// The first aggregator is killed and started again.
+    KillAggregator,
+}
+
+/// Something at a time, in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Line {
+    /// When.
+    pub at: f64,
+    /// What.
+    pub act: Act,
+}
+
+fn time(input: &mut &str) -> ModalResult<f64> {
+    let scale = alt(("ms".value(1.0), "s".value(1000.0), "m".value(60_000.0)));
+    (float::<_, f64, _>, scale)
+        .map(|(number, scale)| number * scale)
+        .context(StrContext::Label("time, as 250ms, 15s or 2m"))
+        .parse_next(input)
+}
+
+fn number(input: &mut &str) -> ModalResult<usize> {
+    digit1.parse_to().parse_next(input)
+}
+
+fn which(input: &mut &str) -> ModalResult<Which> {
+    alt((preceded("s-", number).map(Which::One), number.map(Which::Some)))
+        .context(StrContext::Label("run store, as s-1, or a number of them"))
+        .parse_next(input)
+}
+
+fn spell(input: &mut &str) -> ModalResult<f64> {
+    preceded((space1, "for", space1), time).context(StrContext::Label("spell, as for 15s")).parse_next(input)
+}
+
+fn act(input: &mut &str) -> ModalResult<Act> {
+    let verb = terminated(alpha1, space1).context(StrContext::Label("act")).parse_next(input)?;
+    match verb {
+        "kill" => cut_err((which, spell)).map(|(which, spell)| Act::Kill(which, spell)).parse_next(input),
+        "drain" => cut_err((which, spell)).map(|(which, spell)| Act::Drain(which, spell)).parse_next(input),
+        "mute" => cut_err((which, spell)).map(|(which, spell)| Act::Mute(which, spell)).parse_next(input),
+        "slow" => cut_err((which, preceded((space1, "by", space1), float), spell))
+            .map(|(which, by, spell)| Act::Slow(which, by, spell))
+            .parse_next(input),
+        "aggregator" => cut_err("kill").value(Act::KillAggregator).parse_next(input),
+        _ => Err(winnow::error::ErrMode::Cut(ContextError::new()))
+            .map_err(|error: winnow::error::ErrMode<ContextError>| error),
+    }
+}
+
+fn line(input: &mut &str) -> ModalResult<Line> {
+    let at = preceded(("at", space1), cut_err(time)).parse_next(input)?;
+    let act = preceded(space1, act)
+        .context(StrContext::Label("act: kill, slow, drain, mute or aggregator kill"))
+        .parse_next(input)?;
+    (opt(space1), opt(('#', till_line_ending))).parse_next(input)?;
+    Ok(Line { at, act })
+}
+
+/// Reads a scenario.
+///
+/// # Errors
+/// Names each line at fault, and what is expected there.
+pub fn read(text: &str) -> Result<Vec<Line>, String> {
+    let (mut lines, mut faults) = (Vec::new(), Vec::new());
+    for (no, row) in text.lines().enumerate() {
+        let row = row.trim();
+        if row.is_empty() || row.starts_with('#') {
+            continue;
+        }
+        match line.parse(row) {
+            Ok(line) => lines.push(line),
+            Err(error) => {
+                let (at, why) = (error.offset() + 1, error.inner().to_string());
+                faults.push(format!("line {}, column {at}: {row}: {}", no + 1, why.replace('\n', ", ")));
+            }
+        }
+    }
+    lines.sort_by(|a, b| a.at.total_cmp(&b.at));
+    if faults.is_empty() {
+        Ok(lines)
+    } else {
+        Err(faults.join("\n"))
+    }
+}
+
+/// The run stores that are meant, of so many; counted ones are chosen by chance, each once.
+pub fn pick(which: &Which, stores: usize, random: &mut fastrand::Rng) -> Vec<usize> {
+    match which {
+        Which::One(store) => vec![*store % stores.max(1)],
+        Which::Some(count) => {
+            let mut all: Vec<usize> = (0..stores).collect();
+            random.shuffle(&mut all);
+            all.truncate(*count);
+            all
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_are_read_in_order_of_time() {
+        let text = "# a night\nat 1.5m kill 3 for 15s # all at once\n\nat 250ms slow s-1 by 4 for 10s\nat 2s aggregator kill\n";
+        let lines = read(text).unwrap();
+        assert_eq!(lines[0], Line { at: 250.0, act: Act::Slow(Which::One(1), 4.0, 10_000.0) });
+        assert_eq!(lines[1].act, Act::KillAggregator);
+        assert_eq!(lines[2], Line { at: 90_000.0, act: Act::Kill(Which::Some(3), 15_000.0) });
+    }
+
+    #[test]
+    fn all_faults_are_named_by_their_lines() {
+        let faults =
+            read("at 5s kill 3\nat 1s drain s-1 for 4s\nat soon kill 1 for 2s\nat 1s sing s-1").unwrap_err();
+        let lines: Vec<_> = faults.lines().collect();
+        assert_eq!(lines.len(), 3, "{faults}");
+        assert!(lines[0].starts_with("line 1, column 13") && lines[0].contains("spell"), "{faults}");
+        assert!(lines[1].starts_with("line 3, column 4") && lines[1].contains("time"), "{faults}");
+        assert!(lines[2].starts_with("line 4"), "{faults}");
+    }
+
+    #[test]
+    fn counted_run_stores_are_chosen_by_the_seed_each_once() {
+        let of = |seed| pick(&Which::Some(3), 8, &mut fastrand::Rng::with_seed(seed));
+        assert_eq!(of(1), of(1));
+        let mut some = of(2);
+        some.dedup();
+        assert_eq!(some.len(), 3);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/stores.rs
@@ -0,0 +1,339 @@
+//! Run stores on loopback that speak frames or the OpenSearch-style API, and answer as their models say.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::check::{Arrival, Checker};
+use crate::clock::Clock;
+use crate::model::{Fate, Kind, Model};
+use crate::Api;
+
+/// What a run store answers for a part: nobody else can make it up.
+pub fn value(seed: u64, part: &str) -> String {
+    let hash = part.bytes().fold(seed ^ 0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3)
+    });
+    format!("{hash:016x}")
+}
+
+/// An answer that waits for its time.
+struct Due {
+    at: u64,
+    no: u64,
+    bytes: Vec<u8>,
+    to: Arc<Mutex<TcpStream>>,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.no) == (other.at, other.no)
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.no).cmp(&(other.at, other.no))
+    }
+}
+
+struct State {
+    model: Model,
+    /// The number of its process; 0 while it is dead.
+    life: u64,
+    lives: u64,
+    muted: bool,
+    connections: Vec<TcpStream>,
+    due: BinaryHeap<Reverse<Due>>,
+    next: u64,
+}
+
+/// A run store.
+pub struct Store {
+    /// Its number.
+    pub no: usize,
+    /// Where it listens.
+    pub address: SocketAddr,
+    kind: Kind,
+    api: Api,
+    seed: u64,
+    clock: Clock,
+    checker: Arc<Checker>,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+impl Store {
+    /// Starts a run store that has long been warm.
+    pub fn start(
+        no: usize,
+        kind: Kind,
+        api: Api,
+        seed: u64,
+        clock: Clock,
+        checker: Arc<Checker>,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let state = State {
+            model: Model::new(kind, clock.now() - kind.warm_ms, seed ^ no as u64),
+            life: 1,
+            lives: 1,
+            muted: false,
+            connections: Vec::new(),
+            due: BinaryHeap::new(),
+            next: 0,
+        };
+        let store = Arc::new(Store {
+            no,
+            address: listener.local_addr()?,
+            kind,
+            api,
+            seed,
+            clock,
+            checker,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+        });
+        let (accepting, answering) = (store.clone(), store.clone());
+        thread::spawn(move || accepting.accept(&listener));
+        thread::spawn(move || answering.answer());
+        Ok(store)
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    /// Its process dies: connections are reset and new ones get no word but a close.
+    pub fn kill(&self) {
+        self.with(|state| {
+            state.life = 0;
+            state.due.clear();
+            for stream in state.connections.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        });
+    }
+
+    /// Another process starts, cold; says when.
+    pub fn revive(&self) -> f64 {
+        let now = self.clock.now();
+        self.with(|state| {
+            state.lives += 1;
+            state.life = state.lives;
+            state.model = Model::new(self.kind, now, self.seed ^ self.no as u64 ^ state.lives << 32);
+        });
+        now
+    }
+
+    /// Its speed against the usual.
+    pub fn slow(&self, by: f64) {
+        self.with(|state| state.model.speed = 1.0 / by);
+    }
+
+    /// Whether it takes parts and says no word.
+    pub fn mute(&self, muted: bool) {
+        self.with(|state| state.muted = muted);
+    }
+
+    fn accept(self: Arc<Self>, listener: &TcpListener) {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let life = self.with(|state| {
+                if state.life > 0 {
+                    state.connections.extend(stream.try_clone().ok());
+                }
+                state.life
+            });
+            if life == 0 {
+                drop(stream);
+                continue;
+            }
+            let store = self.clone();
+            thread::spawn(move || {
+                let _ = stream.set_nodelay(true);
+                // A connection that ends in whatever way is no matter of the run store's.
+                let _ = match store.api {
+                    Api::Platform => store.frames(&stream, life),
+                    Api::Opensearch => store.searches(&stream, life),
+                };
+                let _ = stream.shutdown(Shutdown::Both);
+            });
+        }
+    }
+
+    /// Writes answers when their time has come.
+    fn answer(&self) {
+        let mut state = self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        loop {
+            let now = self.clock.micros();
+            let mut ready = Vec::new();
+            while state.due.peek().is_some_and(|Reverse(due)| due.at <= now) {
+                ready.extend(state.due.pop().map(|Reverse(due)| due));
+            }
+            if !ready.is_empty() {
+                drop(state);
+                for due in ready {
+                    if let Ok(mut stream) = due.to.lock() {
+                        let _ = stream.write_all(&due.bytes);
+                    }
+                }
+                state = self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                continue;
+            }
+            let wait = state.due.peek().map_or(50_000, |Reverse(due)| due.at - now);
+            state = match self.changed.wait_timeout(state, Duration::from_micros(wait)) {
+                Ok((state, _)) => state,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+        }
+    }
+
+    /// A part arrives; its answer is written when its time has come, if there is one.
+    fn take(&self, life: u64, part: &str, shard: u32, wait_ms: f64, to: &Arc<Mutex<TcpStream>>) {
+        let now = self.clock.now();
+        let (fate, report) = self.with(|state| {
+            if state.life != life || state.muted {
+                return (None, 0.0);
+            }
+            let fate = state.model.offer(now, now + wait_ms);
+            (Some(fate), state.model.utilization(now))
+        });
+        let ran = matches!(fate, Some(Fate::Done(_)));
+        self.checker.arrived(Arrival { at: now, store: self.no, part: part.into(), shard, ran });
+        let (at, bytes) = match fate {
+            Some(Fate::Done(at)) => (at, self.say(part, shard, Some(&value(self.seed, part)), report)),
+            Some(Fate::TurnedAway) => (now, self.say(part, shard, None, report)),
+            Some(Fate::Never) | None => return,
+        };
+        self.with(|state| {
+            if state.life == life {
+                state.next += 1;
+                let due = Due { at: (at * 1000.0) as u64, no: state.next, bytes, to: to.clone() };
+                state.due.push(Reverse(due));
+            }
+        });
+        self.changed.notify_all();
+    }
+
+    fn say(&self, part: &str, shard: u32, value: Option<&str>, report: f64) -> Vec<u8> {
+        match self.api {
+            Api::Platform => {
+                let end = if value.is_some() { "S" } else { "B" };
+                frame(
+                    b'5',
+                    format!("{part} {end} 7 util={report:.2},qps=3\n{}", value.unwrap_or("")).as_bytes(),
+                )
+            }
+            Api::Opensearch => match value {
+                Some(value) => {
+                    let hit = json!({"_index": "runs", "_id": format!("{shard}:{value}"), "_score": 1.0});
+                    let body = json!({"took": 1, "timed_out": false,
+                        "_shards": {"total": 1, "successful": 1, "skipped": 0, "failed": 0},
+                        "hits": {"total": {"value": 1, "relation": "eq"}, "max_score": 1.0, "hits": [hit]}});
+                    response("200 OK", &body.to_string())
+                }
+                None => response("429 Too Many Requests", r#"{"error":{"type":"rejected"},"status":429}"#),
+            },
+        }
+    }
+
+    fn frames(&self, stream: &TcpStream, life: u64) -> io::Result<()> {
+        let to = Arc::new(Mutex::new(stream.try_clone()?));
+        let mut read = BufReader::new(stream);
+        loop {
+            let mut length = [0; 4];
+            read.read_exact(&mut length)?;
+            let mut bytes = vec![0; u32::from_le_bytes(length).min(1 << 20) as usize];
+            read.read_exact(&mut bytes)?;
+            match bytes.first() {
+                Some(b'1') => {
+                    let text = String::from_utf8_lossy(&bytes[1..]).into_owned();
+                    let words: Vec<&str> = text.lines().next().unwrap_or("").split(' ').collect();
+                    let [part, shard, list, _] = words[..] else { return Ok(()) };
+                    let wait = list.strip_prefix("d=").and_then(|wait| wait.parse().ok()).unwrap_or(0.0);
+                    self.take(life, part, shard.parse().unwrap_or(0), wait, &to);
+                }
+                Some(b'3' | b'4') => {
+                    if let Ok(mut stream) = to.lock() {
+                        let answer: &[u8] = if bytes[0] == b'3' { b"S" } else { b"util=0.50,qps=3" };
+                        stream.write_all(&frame(bytes[0], answer))?;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn searches(&self, stream: &TcpStream, life: u64) -> io::Result<()> {
+        let to = Arc::new(Mutex::new(stream.try_clone()?));
+        let mut read = BufReader::new(stream);
+        while let Some((first, head, _)) = read_message(&mut read)? {
+            if !first.contains("/_search?") {
+                if let Ok(mut stream) = to.lock() {
+                    stream.write_all(&response("200 OK", "{}"))?;
+                }
+                continue;
+            }
+            let parameter = |name: &str| first.split(name).nth(1)?.split(['&', ' ']).next();
+            let shard: u32 = parameter("_shards:").and_then(|shard| shard.parse().ok()).unwrap_or(0);
+            let wait = parameter("timeout=")
+                .and_then(|wait| wait.trim_end_matches("ms").parse().ok())
+                .unwrap_or(0.0);
+            let query = head.lines().find_map(|line| line.strip_prefix("x-opaque-id: ")).unwrap_or("");
+            self.take(life, &format!("{query}.{shard}"), shard, wait, &to);
+        }
+        Ok(())
+    }
+}
+
+fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
+    let mut frame = (rest.len() as u32 + 1).to_le_bytes().to_vec();
+    frame.push(letter);
+    frame.extend_from_slice(rest);
+    frame
+}
+
+fn response(status: &str, body: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// Reads an HTTP message: its first line, its head in lower case, its body; `None` at an end between two.
+pub fn read_message(read: &mut impl BufRead) -> io::Result<Option<(String, String, Vec<u8>)>> {
+    let mut first = String::new();
+    if read.read_line(&mut first)? == 0 {
+        return Ok(None);
+    }
+    let mut head = String::new();
+    loop {
+        let mut line = String::new();
+        if read.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        if line.trim().is_empty() {
+            break;
+        }
+        head.push_str(&line.to_lowercase());
+    }
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: ")?.trim().parse().ok());
+    let mut body = vec![0; length.unwrap_or(0usize).min(1 << 20)];
+    read.read_exact(&mut body)?;
+    Ok(Some((first.trim_end().to_string(), head, body)))
+}
