Log by tracing, as text or JSON, and store traces in fewer bytes (version 3, zstd)

Change: the log is tracing's. Version 3 of the trace stores a query with its parts and the sends of one query in a step in one piece each, and the bytes of an attempt in one record; blocks are compressed by zstd at level 1.

One run of the tests under load took the core's 'its time was up' for the cause that no list was known; the core names that now.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod demo;
 mod discovery;
+mod logs;
 mod model;
 mod report;
 mod scenario;
@@ -36,6 +37,13 @@
 enum Command {
     /// Start run stores, discovery, aggregators and clients, and show queries being answered.
     Demo(demo::Options),
+    /// Measure what a line of the log costs: as it was, as text, as JSON, and filtered out. Send standard error to
+    /// /dev/null.
+    LogCost {
+        /// Lines of each kind.
+        #[arg(long, default_value_t = 300_000)]
+        lines: u32,
+    },
     /// Be an aggregator; the demo starts such processes of itself.
     #[command(hide = true)]
     Aggregator {
@@ -47,7 +55,10 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Demo(options) => demo::run(&options),
-        Command::Aggregator { config } => ironpaddle::service::run(&config).map(|()| true),
+        Command::Aggregator { config } => ironpaddle::log::begin(ironpaddle::log::Format::Text, "info")
+            .and_then(|()| ironpaddle::service::run(&config))
+            .map(|()| true),
+        Command::LogCost { lines } => logs::cost(lines).map(|()| true),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/trace/src/block.rs
+++ b/crates/trace/src/block.rs
@@ -15,9 +15,12 @@
 pub const HEAD: usize = 52;
 /// The longest payload that is believed, in bytes, so that a wrong length costs no memory.
 pub const MOST_PAYLOAD: u32 = 64 << 20;
-/// The codec of a block that is stored as it is, and of one compressed by LZ4's block format.
+/// The codec of a block that is stored as it is, of one compressed by LZ4's block format, and of one by zstd.
 const PLAIN: u8 = 0;
 const LZ4: u8 = 1;
+const ZSTD: u8 = 2;
+/// The level of zstd; higher ones gain nothing on these blocks, see `docs/measurements/trace.md`.
+const LEVEL: i32 = 1;
 
 /// What stands before a payload.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -169,8 +172,8 @@
         raw.extend_from_slice(&self.bytes);
         let raw_len =
             u32::try_from(raw.len()).ok().filter(|len| *len <= MOST_PAYLOAD).ok_or(Error::TooLong)?;
-        let squeezed = lz4_flex::block::compress(&raw);
-        let (codec, stored) = if squeezed.len() < raw.len() { (LZ4, squeezed) } else { (PLAIN, raw) };
+        let squeezed = zstd::bulk::compress(&raw, LEVEL)?;
+        let (codec, stored) = if squeezed.len() < raw.len() { (ZSTD, squeezed) } else { (PLAIN, raw) };
         let head = Head {
             version: VERSION,
             codec,
@@ -226,6 +229,7 @@
         let raw = match head.codec {
             PLAIN => stored.to_vec(),
             LZ4 => lz4_flex::block::decompress(stored, head.raw as usize).map_err(|_| Error::Damaged)?,
+            ZSTD => zstd::bulk::decompress(stored, head.raw as usize).map_err(|_| Error::Damaged)?,
             _ => return Err(Error::Version(head.version)),
         };
         let (rows, mut rest) = postcard::take_from_bytes::<Vec<Row>>(&raw)?;
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -12,11 +12,13 @@
 pub mod index;
 pub mod keep;
 pub mod num;
+mod packed;
 pub mod record;
 pub mod set;
 pub mod story;
 pub mod summary;
 mod v1;
+mod v2;
 pub mod version;
 
 use std::fmt;
--- /dev/null
+++ b/crates/trace/src/packed.rs
@@ -0,0 +1,173 @@
+//! Steps as they are stored: a query with its parts in one piece, the sends of one query in one step too.
+//!
+//! Most bytes of a trace are steps, and most of these say again which query a part is of and how long it is waited for.
+//! What is packed comes back as the same events and actions in the same order.
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::num::Num;
+use crate::record::{Action, Choice, Event, Name, Step, Why};
+
+/// A part behind its query: shard, weight, hint, key.
+type PartOf = (u32, Num, Option<Num>, Option<Name>);
+/// A send beside others: shard, run store, why there.
+type SendOf = (u32, Name, Choice);
+
+#[derive(Serialize)]
+enum EventOut<'a> {
+    Asked(&'a Event, Vec<PartOf>),
+    One(&'a Event),
+}
+
+#[derive(Deserialize)]
+enum EventIn {
+    Asked(Event, Vec<PartOf>),
+    One(Event),
+}
+
+#[derive(Serialize)]
+enum ActionOut<'a> {
+    Sends(u64, Num, Why, Vec<SendOf>),
+    One(&'a Action),
+}
+
+#[derive(Deserialize)]
+enum ActionIn {
+    Sends(u64, Num, Why, Vec<SendOf>),
+    One(Action),
+}
+
+fn pack_events(events: &[Event]) -> Vec<EventOut<'_>> {
+    let mut packed: Vec<EventOut> = Vec::with_capacity(events.len());
+    for event in events {
+        match (event, packed.last_mut()) {
+            (Event::Query { .. }, _) => packed.push(EventOut::Asked(event, Vec::new())),
+            (Event::Part { query, shard, weight, hint, key }, Some(EventOut::Asked(of, parts)))
+                if of.query() == Some(*query) =>
+            {
+                parts.push((*shard, *weight, *hint, *key));
+            }
+            _ => packed.push(EventOut::One(event)),
+        }
+    }
+    packed
+}
+
+fn pack_actions(actions: &[Action]) -> Vec<ActionOut<'_>> {
+    let mut packed: Vec<ActionOut> = Vec::with_capacity(actions.len());
+    for action in actions {
+        let Action::Send { query, shard, run_store, timeout, why, choice } = action else {
+            packed.push(ActionOut::One(action));
+            continue;
+        };
+        let send = (*shard, *run_store, *choice);
+        match packed.last_mut() {
+            Some(ActionOut::Sends(of, wait, reason, sends))
+                if (&*of, &*wait, &*reason) == (query, timeout, why) =>
+            {
+                sends.push(send);
+            }
+            _ => packed.push(ActionOut::Sends(*query, *timeout, *why, vec![send])),
+        }
+    }
+    packed
+}
+
+impl Serialize for Step {
+    fn serialize<S: Serializer>(&self, out: S) -> Result<S::Ok, S::Error> {
+        if out.is_human_readable() {
+            #[derive(Serialize)]
+            struct Plain<'a> {
+                events: &'a [Event],
+                actions: &'a [Action],
+            }
+            return Plain { events: &self.events, actions: &self.actions }.serialize(out);
+        }
+        (pack_events(&self.events), pack_actions(&self.actions)).serialize(out)
+    }
+}
+
+impl<'de> Deserialize<'de> for Step {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let (packed_events, packed_actions) = <(Vec<EventIn>, Vec<ActionIn>)>::deserialize(from)?;
+        let mut events = Vec::with_capacity(packed_events.len());
+        for packed in packed_events {
+            match packed {
+                EventIn::One(event) => events.push(event),
+                EventIn::Asked(event, parts) => {
+                    let query = event.query().unwrap_or(0);
+                    events.push(event);
+                    let part = |(shard, weight, hint, key)| Event::Part { query, shard, weight, hint, key };
+                    events.extend(parts.into_iter().map(part));
+                }
+            }
+        }
+        let mut actions = Vec::with_capacity(packed_actions.len());
+        for packed in packed_actions {
+            match packed {
+                ActionIn::One(action) => actions.push(action),
+                ActionIn::Sends(query, timeout, why, sends) => {
+                    let send = |(shard, run_store, choice)| Action::Send {
+                        query,
+                        shard,
+                        run_store,
+                        timeout,
+                        why,
+                        choice,
+                    };
+                    actions.extend(sends.into_iter().map(send));
+                }
+            }
+        }
+        Ok(Step { events, actions })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::Outcome;
+
+    #[test]
+    fn what_is_packed_comes_back_in_its_order() {
+        let mut random = fastrand::Rng::with_seed(1);
+        for _ in 0..300 {
+            let event = |random: &mut fastrand::Rng| match random.u8(..4) {
+                0 => Event::Query {
+                    query: random.u64(..3),
+                    class: 0,
+                    group: None,
+                    key: None,
+                    arrived: Num::of(-0.25),
+                    deadline: Num::of(4000.0),
+                    parts: 2,
+                    retry: false,
+                },
+                1 | 2 => Event::Part {
+                    query: random.u64(..3),
+                    shard: random.u32(..9),
+                    weight: Num::of(random.f64()),
+                    hint: None,
+                    key: random.bool().then_some(Name(1)),
+                },
+                _ => Event::Wake,
+            };
+            let action = |random: &mut fastrand::Rng| match random.u8(..4) {
+                0 => Action::Answer { query: 1, whole: true },
+                _ => Action::Send {
+                    query: random.u64(..2),
+                    shard: random.u32(..9),
+                    run_store: Name(random.u32(..3)),
+                    timeout: Num::of(f64::from(random.u8(..2))),
+                    why: if random.bool() { Why::First } else { Why::After(Outcome::Reset) },
+                    choice: Choice::Least,
+                },
+            };
+            let events = (0..random.usize(..12)).map(|_| event(&mut random)).collect();
+            let actions = (0..random.usize(..12)).map(|_| action(&mut random)).collect();
+            let step = Step { events, actions };
+            let bytes = postcard::to_stdvec(&step).unwrap();
+            assert_eq!(postcard::from_bytes::<Step>(&bytes).unwrap(), step);
+        }
+    }
+}
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -117,8 +117,8 @@
     pub groups: Vec<Name>,
 }
 
-/// What the decision module was told, and what it said.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// What the decision module was told, and what it said. Its stored form is `packed`.
+#[derive(Debug, Clone, PartialEq)]
 pub struct Step {
     /// The events, in order.
     pub events: Vec<Event>,
@@ -544,15 +544,16 @@
 }
 
 /// How far an attempt got on its connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Progress {
-    /// Its first byte is about to be written.
+    /// Its first byte was written, or may have been; its last one was not, as the connection ended.
     Begun,
-    /// Its last byte is written: from here on it may run.
-    Written,
+    /// Its last byte is written: from here on it may run. The first one was so much earlier, in milliseconds, if that
+    /// is known.
+    Written(Option<Num>),
 }
 
-/// An attempt on its way.
+/// An attempt on its way: one record for its bytes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Wire {
     /// The query.
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -112,8 +112,16 @@
             }
             Record::Wire(wire) if wire.query == query => {
                 let what = match wire.progress {
-                    Progress::Begun => "its first byte is written",
-                    Progress::Written => "its last byte is written: it may run from here on",
+                    Progress::Begun => "not written to its last byte: it never ran".to_string(),
+                    Progress::Written(None) => {
+                        "its last byte is written: it may run from here on".to_string()
+                    }
+                    Progress::Written(Some(took)) => {
+                        let took = took.value();
+                        format!(
+                            "its last byte is written, {took:.2} ms after its first: it may run from here on"
+                        )
+                    }
                 };
                 self.say(at, Some(wire.shard), format!("attempt {}: {what}", wire.attempt));
             }
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -255,7 +255,7 @@
                 tally.at_counts.insert(source, tally.counted.get(&source).cloned().unwrap_or_default());
             }
             Record::Loss(loss) => process.lost += loss.records,
-            Record::Wire(wire) if wire.progress == Progress::Written => process.tries += 1,
+            Record::Wire(wire) if matches!(wire.progress, Progress::Written(_)) => process.tries += 1,
             Record::Step(step) => {
                 for event in &step.events {
                     match event {
--- a/crates/trace/src/v1.rs
+++ b/crates/trace/src/v1.rs
@@ -6,8 +6,9 @@
 
 use crate::num::Num;
 use crate::record::{
-    self, Cause, Checkpoint, Choice, Closed, Counts, Event, How, Loss, Name, Taken, Told, Why, Wire,
+    self, Cause, Checkpoint, Choice, Closed, Counts, Event, How, Loss, Name, Taken, Told, Why,
 };
+use crate::v2::Wire;
 
 #[derive(Deserialize)]
 pub(crate) enum Record {
@@ -97,7 +98,7 @@
             Record::Taken(taken) => Now::Taken(taken),
             Record::Verdict(verdict) => Now::Verdict(verdict.into()),
             Record::NotTaken(class) => Now::NotTaken(class),
-            Record::Wire(wire) => Now::Wire(wire),
+            Record::Wire(wire) => Now::Wire(wire.into()),
             Record::Closed(closed) => Now::Closed(closed),
             Record::Call(call) => Now::Call(call),
             Record::Counts(counts) => Now::Counts(counts),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,10 +5,11 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{CommandFactory, Parser, Subcommand};
+use clap::{Args, CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 
 use crate::config::{self, Config};
+use crate::log::{self, Format};
 use crate::service;
 
 /// A query aggregator in front of a sharded, replicated store of run records.
@@ -20,19 +21,29 @@
   ironpaddle trace summary /var/lib/ironpaddle/trace
   ironpaddle trace why 9b1f03aa5c7e2d41 /var/lib/ironpaddle/trace")]
 struct Cli {
-    /// The configuration file; without it the one that GW_CONFIG names.
-    config: Option<PathBuf>,
+    #[command(flatten)]
+    serve: Serve,
     #[command(subcommand)]
     command: Option<Command>,
 }
 
+/// What serving takes.
+#[derive(Debug, Args)]
+struct Serve {
+    /// The configuration file; without it the one that GW_CONFIG names.
+    config: Option<PathBuf>,
+    /// How the log is written.
+    #[arg(long, value_enum, default_value = "text")]
+    log_format: Format,
+    /// What is logged: a level, and levels of targets, as info,ironpaddle::query=debug.
+    #[arg(long, default_value = "info")]
+    log_filter: String,
+}
+
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Serve, as without any command.
-    Run {
-        /// The configuration file; without it the one that GW_CONFIG names.
-        config: Option<PathBuf>,
-    },
+    Run(Serve),
     /// Read and check a configuration file.
     Check {
         /// The file.
@@ -60,8 +71,8 @@
 pub fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match cli.command {
-        None => serve(cli.config),
-        Some(Command::Run { config }) => serve(config),
+        None => serve(cli.serve),
+        Some(Command::Run(command)) => serve(command),
         Some(Command::Check { config }) => Config::load(&config).map(|_| {
             println!("{}: sound", config.display());
             Found::Well
@@ -82,6 +93,7 @@
     }
 }
 
-fn serve(config: Option<PathBuf>) -> Result<Found, String> {
-    config::path(config).and_then(|path| service::run(&path)).map(|()| Found::Well)
+fn serve(serve: Serve) -> Result<Found, String> {
+    log::begin(serve.log_format, &serve.log_filter)?;
+    config::path(serve.config).and_then(|path| service::run(&path)).map(|()| Found::Well)
 }
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -107,8 +107,10 @@
             .filter(|(_, query)| query.deadline <= now)
             .map(|(no, _)| *no)
             .collect();
+        // The router is late itself, and cannot say why any more.
+        let cause = if self.ledger.places.is_empty() { Cause::NoList } else { Cause::Overdue };
         for no in overdue {
-            self.close(now, no, Verdict::Failed { retry_after: 0.0, cause: Cause::Overdue });
+            self.close(now, no, Verdict::Failed { retry_after: 0.0, cause });
             self.inbox.push(Event::ClientGone(Ledger::query_id(no)));
         }
     }
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -10,6 +10,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::future;
+use ironpaddle_trace::num::Num;
 use ironpaddle_trace::record::Progress;
 
 use super::legacy::Legacy;
@@ -128,10 +129,12 @@
         self.core.borrow_mut().not_taken(now, class);
     }
 
-    /// An attempt has got so far on its connection.
-    pub fn progress(&self, call: &Call, progress: Progress) {
+    /// The bytes of an attempt: the first was written at some time, and the last just now, if it was.
+    pub fn progress(&self, call: &Call, begun: Millis, written: bool) {
         if self.recording.get().is_some() {
             let now = self.now();
+            let progress =
+                if written { Progress::Written(Some(Num::of(now - begun))) } else { Progress::Begun };
             self.core.borrow_mut().progress(now, call, progress);
         }
     }
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -19,6 +19,7 @@
 use crate::http::parse::{Bad, Message};
 use crate::http::server::{Handler, Local};
 use crate::http::write::Response;
+use crate::log;
 use crate::transport::opensearch::carry;
 use search::{Refusal, Search, Verb};
 
@@ -93,6 +94,7 @@
                         let shards = search.shards.clone().unwrap_or_else(|| (0..self.shards()).collect());
                         return Box::pin(async move {
                             let verdict = pending.verdict().await;
+                            log::verdict(opaque.as_deref().unwrap_or("-"), &verdict);
                             let took = since.elapsed().as_millis() as u64;
                             echo(render(&verdict, &search, &shards, took), opaque)
                         });
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -12,6 +12,7 @@
 use crate::http::parse::{Bad, Message};
 use crate::http::server::{Handler, Local};
 use crate::http::write::Response;
+use crate::log;
 
 /// The longest id, class or tenant that is taken in.
 const MOST_NAME: usize = 128;
@@ -102,7 +103,9 @@
             ("POST", _) => match self.query(&request, path) {
                 Ok((held, pending)) => {
                     return Box::pin(async move {
-                        let response = render(&pending.verdict().await);
+                        let verdict = pending.verdict().await;
+                        log::verdict(&held.id, &verdict);
+                        let response = render(&verdict);
                         drop(held);
                         response
                     })
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,10 +1,22 @@
-//! The log: lines on standard error.
+//! The log: lines on standard error, as text or JSON, written by `tracing`.
 
 use std::cell::RefCell;
 use std::fmt;
-use std::io::{self, Write};
+use std::io;
 use std::net::SocketAddr;
 
+use tracing::field::{Field, Visit};
+use tracing::{Event, Subscriber};
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields, MakeWriter};
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::registry::LookupSpan;
+use tracing_subscriber::{Layer, Registry};
+
+use crate::api::Cause;
+use crate::core::Verdict;
+
 /// Why a connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
@@ -88,18 +100,164 @@
     WATCHER.with_borrow_mut(|known| *known = watcher);
 }
 
-/// Writes a line. A log that cannot be written is no reason to stop.
+/// How lines are written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Format {
+    /// A line each, for people and `grep`.
+    #[default]
+    Text,
+    /// A JSON object a line, with the time, the level, and what a line is about as fields.
+    Json,
+}
+
+/// A line is its message; fields stand in it already.
+struct Bare;
+
+struct Message<'a, 'b>(&'a mut Writer<'b>, fmt::Result);
+
+impl Visit for Message<'_, '_> {
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        if field.name() == "message" {
+            self.1 = write!(self.0, "{value:?}");
+        }
+    }
+}
+
+impl<S: Subscriber + for<'a> LookupSpan<'a>, N: for<'a> FormatFields<'a> + 'static> FormatEvent<S, N>
+    for Bare
+{
+    fn format_event(&self, _: &FmtContext<'_, S, N>, mut out: Writer<'_>, event: &Event<'_>) -> fmt::Result {
+        let mut message = Message(&mut out, Ok(()));
+        event.record(&mut message);
+        message.1?;
+        writeln!(out)
+    }
+}
+
+/// What writes lines to some place, those that pass a filter such as `info` or `info,ironpaddle::query=debug`.
+///
+/// # Errors
+/// Says what of the filter cannot be read.
+pub fn subscriber<W>(
+    format: Format,
+    filter: &str,
+    out: W,
+) -> Result<Box<dyn Subscriber + Send + Sync>, String>
+where
+    W: for<'w> MakeWriter<'w> + Send + Sync + 'static,
+{
+    let targets: Targets = filter.parse().map_err(|error| format!("log filter {filter}: {error}"))?;
+    // A log that cannot be written is no reason to stop, nor to write of that.
+    let layer = tracing_subscriber::fmt::layer().with_writer(out).log_internal_errors(false);
+    Ok(match format {
+        Format::Text => Box::new(Registry::default().with(layer.event_format(Bare).with_filter(targets))),
+        Format::Json => {
+            let layer = layer.json().flatten_event(true).with_current_span(false).with_span_list(false);
+            Box::new(Registry::default().with(layer.with_filter(targets)))
+        }
+    })
+}
+
+/// Has lines written to standard error from now on. Only the first call counts.
+///
+/// # Errors
+/// Says what of the filter cannot be read.
+pub fn begin(format: Format, filter: &str) -> Result<(), String> {
+    let subscriber = subscriber(format, filter, io::stderr)?;
+    let _ = tracing::subscriber::set_global_default(subscriber);
+    Ok(())
+}
+
+/// Writes a line.
 pub fn line(text: &str) {
-    let _ = writeln!(std::io::stderr().lock(), "{text}");
+    tracing::info!(target: "ironpaddle", "{text}");
+}
+
+/// A line about a query, by its client's id.
+pub fn about(query: &str, text: &str) {
+    tracing::info!(target: "ironpaddle", query, "{text}");
+}
+
+/// A query's end: at level debug, as there are many.
+pub fn verdict(query: &str, verdict: &Verdict) {
+    let how = match verdict {
+        Verdict::Served { whole: true, .. } => "whole",
+        Verdict::Served { whole: false, .. } => "partial",
+        Verdict::Refused { .. } => "refused",
+        Verdict::Failed { .. } => "failed",
+    };
+    let cause = verdict.cause().map_or("-", Cause::code);
+    tracing::debug!(target: "ironpaddle::query", query, how, cause, "query {query} {how} cause={cause}");
 }
 
 /// The one line of a connection that ended.
 pub fn ended(kind: &str, peer: Option<SocketAddr>, reason: Reason, note: impl fmt::Display) {
     let peer = peer.map_or_else(|| "-".to_string(), |peer| peer.to_string());
+    let code = reason.code();
     WATCHER.with_borrow(|watcher| {
         if let Some(watcher) = watcher {
-            watcher(kind, &peer, reason.code(), &note.to_string());
+            watcher(kind, &peer, code, &note.to_string());
         }
     });
-    line(&format!("end {kind} {peer} code={} {note}", reason.code()));
+    tracing::info!(
+        target: "ironpaddle::connection",
+        kind,
+        peer,
+        code,
+        note = %note,
+        "end {kind} {peer} code={code} {note}"
+    );
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::sync::{Arc, Mutex};
+
+    #[derive(Clone, Default)]
+    struct Kept(Arc<Mutex<Vec<u8>>>);
+
+    impl Write for Kept {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.0.lock().unwrap().extend_from_slice(bytes);
+            Ok(bytes.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    fn written(format: Format, filter: &str) -> String {
+        let kept = Kept::default();
+        let out = kept.clone();
+        let subscriber = subscriber(format, filter, move || out.clone()).unwrap();
+        tracing::subscriber::with_default(subscriber, || {
+            line("draining");
+            ended("client", Some(([127, 0, 0, 1], 9).into()), Reason::Done, "requests=1");
+            verdict("c1", &Verdict::Refused { retry_after: 1.0, cause: Cause::NoList });
+        });
+        let bytes = kept.0.lock().unwrap().clone();
+        String::from_utf8(bytes).unwrap()
+    }
+
+    #[test]
+    fn text_is_the_line_that_it_was() {
+        assert_eq!(written(Format::Text, "info"), "draining\nend client 127.0.0.1:9 code=done requests=1\n");
+    }
+
+    #[test]
+    fn json_has_fields_and_filters_hold() {
+        let text = written(Format::Json, "off,ironpaddle::connection=info,ironpaddle::query=debug");
+        let lines: Vec<serde_json::Value> =
+            text.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+        assert_eq!(lines.len(), 2, "{text}");
+        assert_eq!(
+            (&lines[0]["code"], &lines[0]["kind"], &lines[0]["level"]),
+            (&"done".into(), &"client".into(), &"INFO".into())
+        );
+        assert_eq!((&lines[1]["query"], &lines[1]["cause"]), (&"c1".into(), &"no_list".into()));
+        assert!(subscriber(Format::Text, "sometimes=perhaps", io::sink).is_err());
+    }
 }
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -14,7 +14,6 @@
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
-use ironpaddle_trace::record::Progress;
 
 use crate::api::{Millis, Outcome, ReplicaId};
 use crate::core::drive::{Driver, RunStores};
@@ -207,17 +206,19 @@
         loop {
             let frame = connection.link.borrow_mut().next_frame(wait);
             if let Some(frame) = frame {
-                self.progress(connection, Progress::Begun);
+                let begun = self.driver.now();
                 let written = async { stream.write_all(&frame).await.map(|()| true) };
                 let limit = async {
                     Timer::after(WRITE_LIMIT).await;
                     Ok(false)
                 };
                 // A frame that is written in half spoils the connection.
-                if !future::or(written, limit).await? {
+                let written = future::or(written, limit).await;
+                let all = matches!(written, Ok(true));
+                connection.link.borrow().writing().for_each(|call| self.driver.progress(call, begun, all));
+                if !written? {
                     return Ok(Reason::TooSlow);
                 }
-                self.progress(connection, Progress::Written);
                 let attempts = connection.link.borrow_mut().written(Instant::now());
                 self.driver.count(|counters| counters.tries += attempts as u64);
                 continue;
@@ -250,10 +251,6 @@
         }
     }
 
-    fn progress(&self, connection: &Connection, progress: Progress) {
-        connection.link.borrow().writing().for_each(|call| self.driver.progress(call, progress));
-    }
-
     fn report(&self, ended: Vec<Ended>) {
         for ended in ended {
             match ended {
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -14,8 +14,6 @@
 use async_io::Timer;
 use futures_lite::future;
 
-use ironpaddle_trace::record::Progress;
-
 use crate::api::{Millis, Outcome, ReplicaId};
 use crate::core::drive::{Driver, RunStores};
 use crate::core::{Call, CallEnd, CallNo};
@@ -269,13 +267,14 @@
                 write::request("POST", &target, &host, &headers, &call.text[cut + 1..])
             }
         };
+        let begun = self.driver.now();
+        let written = client.write(&request).await;
         if let Job::Search(call) = job {
-            self.driver.progress(call, Progress::Begun);
+            self.driver.progress(call, begun, written.is_ok());
         }
-        client.write(&request).await?;
+        written?;
         worker.stage.set(Stage::Written(job.no()));
-        if let Job::Search(call) = job {
-            self.driver.progress(call, Progress::Written);
+        if matches!(job, Job::Search(_)) {
             self.driver.count(|counters| counters.tries += 1);
         }
         client.read().await
@@ -294,7 +293,7 @@
                     load: None,
                 },
                 Err(why) => {
-                    log::line(&format!("search {} shard {}: {why}", call.query, call.shard));
+                    log::about(&call.query, &format!("search {} shard {}: {why}", call.query, call.shard));
                     CallEnd::bare(Outcome::Errored)
                 }
             },
