--- a/crates/trace/src/set.rs
+++ b/crates/trace/src/set.rs
@@ -28,8 +28,13 @@
     pub sources: Vec<Source>,
     /// What could not be read, by file.
     pub troubles: Vec<(PathBuf, String)>,
+    /// Who hears how far a walk has come: blocks read, and all of it.
+    pub progress: Option<Progress>,
 }
 
+/// Hears how far a walk has come: blocks read, and all.
+pub type Progress = Box<dyn FnMut(usize, usize)>;
+
 /// A block of a set.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct At {
@@ -52,7 +57,7 @@
     /// # Errors
     /// If nothing of them is a trace; files that are none, beside others that are, count as troubles.
     pub fn open(paths: &[PathBuf]) -> Result<Self, Error> {
-        let mut set = Set { segments: Vec::new(), sources: Vec::new(), troubles: Vec::new() };
+        let mut set = Set { segments: Vec::new(), sources: Vec::new(), troubles: Vec::new(), progress: None };
         for path in paths {
             if path.is_dir() {
                 let mut files: Vec<PathBuf> =
@@ -122,6 +127,12 @@
         Some((first, blocks().map(|block| block.last).fold(first, f64::max)))
     }
 
+    fn tell_progress(&mut self, read: usize, all: usize) {
+        if let Some(progress) = &mut self.progress {
+            progress(read, all);
+        }
+    }
+
     fn read(&mut self, at: At) -> Option<Block> {
         match self.segments[at.segment].reader.block(at.block) {
             Ok(block) => Some(block),
@@ -147,7 +158,9 @@
     /// Goes through the entries of all blocks that reach into a span, block by block: each source's in their order,
     /// those of different sources in no order.
     pub fn blockwise(&mut self, span: (f64, f64), mut visit: impl FnMut(Met)) {
-        for at in self.blocks(|block| block.last >= span.0 && block.first <= span.1) {
+        let all = self.blocks(|block| block.last >= span.0 && block.first <= span.1);
+        for (no, at) in all.iter().copied().enumerate() {
+            self.tell_progress(no + 1, all.len());
             let source = self.place(at.segment, self.segments[at.segment].reader.blocks()[at.block].source);
             match self.read(at) {
                 Some(block) => {
@@ -162,6 +175,7 @@
     /// the order of their making.
     pub fn each(&mut self, span: (f64, f64), mut visit: impl FnMut(Met)) {
         let all = self.blocks(|block| block.last >= span.0 && block.first <= span.1);
+        let (count, mut read) = (all.len(), 0);
         let mut coming = all.into_iter().peekable();
         // The blocks that are open, oldest first: with the place of its source and of its next entry.
         let mut open: Vec<(Block, usize, usize)> = Vec::new();
@@ -180,6 +194,8 @@
             };
             let best = next(&open);
             if let Some(at) = coming.next_if(|at| best.is_none_or(|(_, time)| at.first <= time)) {
+                read += 1;
+                self.tell_progress(read, count);
                 let source =
                     self.place(at.segment, self.segments[at.segment].reader.blocks()[at.block].source);
                 match self.read(at) {
--- a/crates/trace/tests/common/mod.rs
+++ b/crates/trace/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A small trace, the same every time.
+#![allow(dead_code)] // Each test file takes what it needs.
 
 use std::io::Cursor;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/trace/tests/keeping.rs
@@ -0,0 +1,184 @@
+//! Segments are kept on a disk that fails, fills up and has too little room.
+
+mod common;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::{self, Cursor, Write};
+use std::rc::Rc;
+
+use common::{checkpoint, query, source, BEGIN};
+use ironpaddle_trace::block::Batch;
+use ironpaddle_trace::file::{Header, Reader};
+use ironpaddle_trace::keep::{name, Done, Job, Keeper, Storage};
+use ironpaddle_trace::record::How;
+
+/// A disk of some bytes, on which files are written and read.
+#[derive(Clone, Default)]
+struct Disk(Rc<RefCell<State>>);
+
+#[derive(Default)]
+struct State {
+    files: BTreeMap<String, Vec<u8>>,
+    /// Files that were written to lately.
+    fresh: Vec<String>,
+    room: usize,
+    broken: bool,
+}
+
+struct Open(Disk, String);
+
+impl Write for Open {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut disk = self.0 .0.borrow_mut();
+        // What fits is written: a full disk leaves half a block.
+        let count = bytes.len().min(disk.room);
+        disk.room -= count;
+        disk.files.get_mut(&self.1).expect("it is open").extend_from_slice(&bytes[..count]);
+        if count == 0 && !bytes.is_empty() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(count)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Storage for Disk {
+    type File = Open;
+
+    fn create(&mut self, name: &str) -> io::Result<Open> {
+        let mut disk = self.0.borrow_mut();
+        if disk.broken {
+            return Err(io::ErrorKind::PermissionDenied.into());
+        }
+        assert!(disk.files.insert(name.into(), Vec::new()).is_none(), "{name} is there already");
+        Ok(Open(self.clone(), name.into()))
+    }
+
+    fn list(&mut self) -> io::Result<Vec<(String, u64, bool)>> {
+        let disk = self.0.borrow();
+        let row = |(name, bytes): (&String, &Vec<u8>)| {
+            (name.clone(), bytes.len() as u64, disk.fresh.contains(name))
+        };
+        Ok(disk.files.iter().map(row).collect())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        let mut disk = self.0.borrow_mut();
+        let bytes = disk.files.remove(name).expect("it is there");
+        disk.room += bytes.len();
+        Ok(())
+    }
+}
+
+fn disk(room: usize) -> Disk {
+    let disk = Disk::default();
+    disk.0.borrow_mut().room = room;
+    disk
+}
+
+fn open(segment: u64) -> Job {
+    let mut batch = Batch::default();
+    checkpoint(&mut batch, BEGIN + segment as f64 * 1000.0);
+    Job::Open(Box::new(Header { sources: vec![source("n0")], segment }), batch)
+}
+
+fn add(at: f64, no: u64) -> Job {
+    let mut batches = [Batch::default()];
+    query(&mut batches, BEGIN + at, no, &format!("c{no}"), "vaal", How::Whole);
+    let [batch] = batches;
+    Job::Add(batch)
+}
+
+fn kept() -> Done {
+    Done::Kept { removed: Vec::new() }
+}
+
+/// The sound entries of each file, by its name.
+fn entries(disk: &Disk) -> Vec<usize> {
+    let count = |bytes: &Vec<u8>| {
+        let Ok(mut reader) = Reader::open(Cursor::new(bytes.as_slice())) else { return 0 };
+        (0..reader.blocks().len()).map(|no| reader.block(no).unwrap().entries.len()).sum()
+    };
+    disk.0.borrow().files.values().map(count).collect()
+}
+
+#[test]
+fn a_full_disk_costs_what_did_not_fit_and_no_more() {
+    for room in 1..1200 {
+        let disk = disk(room);
+        let mut keeper = Keeper::new(disk.clone(), u64::MAX);
+        let (mut kept_records, mut lost) = (0, 0);
+        for job in [open(0), add(10.0, 1), add(20.0, 2), Job::Close] {
+            let records = match &job {
+                Job::Open(_, batch) | Job::Add(batch) => u64::from(batch.records()),
+                Job::Close => 0,
+            };
+            match keeper.take(job) {
+                Done::Kept { .. } => kept_records += records,
+                Done::Lost { records, .. } => lost += records,
+            }
+        }
+        assert_eq!(
+            (kept_records + lost, entries(&disk).iter().sum::<usize>() as u64),
+            (11, kept_records),
+            "{room}"
+        );
+        // Once there is room again the next segment is whole, whatever the last one has become.
+        disk.0.borrow_mut().room = 1 << 20;
+        assert_eq!(keeper.take(open(1)), kept());
+        assert_eq!((keeper.take(add(1010.0, 3)), keeper.take(Job::Close)), (kept(), kept()));
+        assert_eq!(entries(&disk).last(), Some(&6));
+    }
+}
+
+#[test]
+fn after_a_failure_nothing_goes_behind_half_a_block() {
+    let disk = disk(1 << 20);
+    let mut keeper = Keeper::new(disk.clone(), u64::MAX);
+    keeper.take(open(0));
+    disk.0.borrow_mut().room = 40;
+    assert!(matches!(keeper.take(add(10.0, 1)), Done::Lost { records: 5, .. }));
+    disk.0.borrow_mut().room = 1 << 20;
+    assert!(
+        matches!(keeper.take(add(20.0, 2)), Done::Lost { records: 5, .. }),
+        "a segment has to be begun anew"
+    );
+    disk.0.borrow_mut().broken = true;
+    assert!(matches!(keeper.take(open(1)), Done::Lost { records: 1, .. }));
+    disk.0.borrow_mut().broken = false;
+    assert_eq!(keeper.take(open(1)), kept());
+    assert_eq!(entries(&disk), [1, 1]);
+}
+
+#[test]
+fn the_oldest_segments_go_and_none_of_others_or_that_is_written_to() {
+    let disk = disk(1 << 20);
+    // Of another aggregator whose name begins alike; and one that another process of this one writes.
+    let other = name("n0.b", 1.0, 1, 0);
+    let fresh = name("n0", 2.0, 9, 0);
+    for name in [&other, &fresh, &"notes.txt".to_string()] {
+        disk.0.borrow_mut().files.insert(name.clone(), vec![0; 4000]);
+    }
+    disk.0.borrow_mut().fresh.push(fresh.clone());
+    let mut keeper = Keeper::new(disk.clone(), 6000);
+    let mut removed = Vec::new();
+    for segment in 0..12 {
+        let Done::Kept { removed: gone } = keeper.take(open(segment)) else { panic!("kept") };
+        removed.extend(gone);
+        keeper.take(add(segment as f64 * 1000.0 + 10.0, segment));
+    }
+    assert!(
+        !removed.is_empty() && removed.windows(2).all(|pair| pair[0] < pair[1]),
+        "oldest first: {removed:?}"
+    );
+    let files = disk.0.borrow().files.clone();
+    assert!([&other, &fresh].iter().all(|name| files.contains_key(*name)) && files.contains_key("notes.txt"));
+    assert!(files.contains_key(keeper.name()));
+    let own: usize =
+        files.iter().filter(|(name, _)| name.starts_with("n0~")).map(|(_, bytes)| bytes.len()).sum();
+    assert!(own < 6000 + 2000, "{own}");
+}
--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -217,32 +217,16 @@
     humantime::format_rfc3339_millis(time.unwrap_or(SystemTime::UNIX_EPOCH)).to_string()
 }
 
-/// How far a long run has come, on standard error if that is a terminal.
-struct Progress {
-    all: u64,
-    done: u64,
-    told: u64,
-}
-
-impl Progress {
-    fn of(set: &Set) -> Self {
-        let blocks = set.segments.iter().flat_map(|segment| segment.reader.blocks());
-        let all =
-            if io::stderr().is_terminal() { blocks.map(|block| u64::from(block.records)).sum() } else { 0 };
-        Progress { all, done: 0, told: 0 }
-    }
-
-    fn step(&mut self) {
-        if self.all == 0 {
-            return;
+/// Says on standard error how far a walk has come.
+fn tell_progress() -> ironpaddle_trace::set::Progress {
+    let mut told = 0;
+    Box::new(move |read, all| {
+        let part = read * 100 / all.max(1);
+        if part != told {
+            told = part;
+            eprint!("\r{part} %{}", if part == 100 { "\r     \r" } else { "" });
         }
-        self.done += 1;
-        let part = self.done * 100 / self.all;
-        if part > self.told {
-            self.told = part;
-            eprint!("\r{part} %{}", if part == 100 { "\n" } else { "" });
-        }
-    }
+    })
 }
 
 fn text(error: Error) -> String {
@@ -295,7 +279,11 @@
 }
 
 fn open(paths: &[PathBuf]) -> Result<Set, String> {
-    Set::open(paths).map_err(text)
+    let mut set = Set::open(paths).map_err(text)?;
+    if io::stderr().is_terminal() {
+        set.progress = Some(tell_progress());
+    }
+    Ok(set)
 }
 
 /// Says what could not be read; that is something its caller has to know.
@@ -527,12 +515,10 @@
     let mut set = open(paths)?;
     let other = settings.map(read_settings).transpose()?;
     let mut replays: Vec<Replay> = set.sources.iter().map(|_| Replay::new(other.clone())).collect();
-    let mut progress = Progress::of(&set);
     let began = std::time::Instant::now();
     let span = set.span().unwrap_or_default();
     set.blockwise((f64::NEG_INFINITY, f64::INFINITY), |met| match met {
         Met::Entry(source, block, entry) => {
-            progress.step();
             replays[source].take(block, entry);
         }
         Met::Gap(source) => replays[source].gap(),
--- a/src/trace/control.rs
+++ b/src/trace/control.rs
@@ -26,14 +26,17 @@
     closed: Rc<RefCell<Vec<Closed>>>,
     /// The number of the next segment.
     segment: Cell<u64>,
+    /// Records that were lost, and those of them that no segment tells of yet.
     lost: Cell<u64>,
+    untold: Cell<u64>,
 }
 
 impl Control {
     /// A switch that is off, for one process.
     pub fn new(keep: Keep, source: Source) -> Self {
         let (recorder, closed) = (RefCell::default(), Rc::default());
-        Control { keep, source, recorder, closed, segment: Cell::new(0), lost: Cell::new(0) }
+        let (segment, lost, untold) = (Cell::new(0), Cell::new(0), Cell::new(0));
+        Control { keep, source, recorder, closed, segment, lost, untold }
     }
 
     /// Whether it is on.
@@ -51,6 +54,12 @@
         }
         let recorder =
             Recorder::start(&self.keep).map_err(|why| format!("{}: {why}", self.keep.dir.display()))?;
+        self.begin(recorder, core, clock);
+        Ok(())
+    }
+
+    /// Has a recorder write what the core does from now on.
+    pub fn begin(&self, recorder: Recorder, core: &mut Core, clock: impl Fn() -> Millis + 'static) {
         *self.recorder.borrow_mut() = Some(recorder);
         let tape = Tape::new(self.source.clone(), self.keep.limits, self.segment.get());
         core.record(clock(), Some(tape));
@@ -61,7 +70,6 @@
                 closed.push((clock(), kind.into(), peer.into(), code.into(), note.into()));
             }
         })));
-        Ok(())
     }
 
     /// Switches it off, in good order.
@@ -89,6 +97,7 @@
     pub fn pump(&self, core: &mut Core, now: Millis) {
         core.tape_due(now);
         let Some(tape) = core.tape() else { return };
+        self.count_lost(tape);
         for (at, kind, peer, code, note) in self.closed.take() {
             tape.closed(at, &kind, &peer, &code, &note);
         }
@@ -97,23 +106,28 @@
         }
         let mut recorder = self.recorder.borrow_mut();
         let Some(recorder) = &mut *recorder else { return };
+        if recorder.is_begun() {
+            tape.begun();
+            self.untold.set(tape.untold());
+        }
         if let Some(records) = recorder.failed() {
-            self.lose(tape, now, now, records);
+            tape.lost(now, now, records);
         }
         while let Some(job) = tape.next_job() {
             let from = first(&job).unwrap_or(now);
             let records = recorder.take(job);
             if records > 0 {
-                self.lose(tape, now, from, records);
+                tape.lost(now, from, records);
             }
         }
+        self.count_lost(tape);
         tape.grown(recorder.size());
     }
 
-    fn lose(&self, tape: &mut Tape, now: Millis, from: Millis, records: u64) {
-        let before = tape.untold();
-        tape.lost(now, from, records);
-        self.lost.set(self.lost.get() + tape.untold() - before);
+    /// Adds up what was lost since this was called last.
+    fn count_lost(&self, tape: &Tape) {
+        let before = self.untold.replace(tape.untold());
+        self.lost.set(self.lost.get() + tape.untold().saturating_sub(before));
     }
 
     /// How it stands.
--- a/src/trace/recorder.rs
+++ b/src/trace/recorder.rs
@@ -17,7 +17,7 @@
 use crate::log;
 
 /// Jobs that wait for the disk: some seconds of a busy aggregator, some MB at most.
-const QUEUE: usize = 64;
+pub const QUEUE: usize = 64;
 /// A file that was written to within this time may belong to a process that runs.
 const LATELY: Duration = Duration::from_secs(60);
 
@@ -38,6 +38,8 @@
     /// The length of the segment, in bytes, and the number of segments begun.
     size: AtomicU64,
     begun: AtomicU64,
+    /// Whether the last of them is there.
+    sound: AtomicBool,
     /// Records that the disk did not take.
     lost: AtomicU64,
     /// Whether it wants another segment, as the disk failed.
@@ -84,12 +86,19 @@
     /// If the folder cannot be made or the thread cannot be started.
     pub fn start(keep: &Keep) -> io::Result<Self> {
         fs::create_dir_all(&keep.dir)?;
+        Recorder::over(Folder(keep.dir.clone()), keep.most)
+    }
+
+    /// Starts the thread over some storage, of which the segments may take up so many bytes.
+    ///
+    /// # Errors
+    /// If the thread cannot be started.
+    pub fn over<S: Storage + Send + 'static>(storage: S, most: u64) -> io::Result<Self> {
         let (jobs, queue) = sync_channel(QUEUE);
         let (told, ended) = (Arc::new(Told::default()), Arc::new(AtomicBool::new(false)));
-        let keeper = Keeper::new(Folder(keep.dir.clone()), keep.most);
         let (tell, done) = (told.clone(), ended.clone());
         std::thread::Builder::new().name("trace".into()).spawn(move || {
-            write(keeper, &queue, &tell);
+            write(Keeper::new(storage, most), &queue, &tell);
             done.store(true, Ordering::Release);
         })?;
         Ok(Recorder { jobs: Some(jobs), told, ended, said: false, asked: 0 })
@@ -132,6 +141,11 @@
         self.told.size.load(Ordering::Acquire)
     }
 
+    /// Whether the segment that was asked for last is on the disk, as far as it goes.
+    pub fn is_begun(&self) -> bool {
+        self.told.begun.load(Ordering::Acquire) == self.asked && self.told.sound.load(Ordering::Acquire)
+    }
+
     /// No more jobs: the thread ends once it has done what it has.
     pub fn finish(&mut self) {
         self.jobs = None;
@@ -156,12 +170,16 @@
 }
 
 /// The thread: it does jobs until no more can come.
-fn write(mut keeper: Keeper<Folder>, queue: &Receiver<Job>, told: &Told) {
+fn write<S: Storage>(mut keeper: Keeper<S>, queue: &Receiver<Job>, told: &Told) {
     let mut said = false;
     while let Ok(job) = queue.recv() {
         let records = records_of(&job);
         let opens = matches!(job, Job::Open(..));
-        match keeper.take(job) {
+        let done = keeper.take(job);
+        if opens {
+            told.sound.store(matches!(done, Done::Kept { .. }), Ordering::Release);
+        }
+        match done {
             Done::Kept { removed } => {
                 told.kept.fetch_add(records, Ordering::AcqRel);
                 told.removed.fetch_add(removed.len() as u64, Ordering::AcqRel);
--- a/src/trace/tape.rs
+++ b/src/trace/tape.rs
@@ -86,6 +86,8 @@
     /// The time of the last entry.
     clock: Millis,
     lost: Option<Loss>,
+    /// The open segment tells of the loss, and is not on the disk yet.
+    telling: bool,
     /// No segment before this time.
     not_before: Millis,
     /// Whether the module's routing goes by keys.
@@ -107,6 +109,7 @@
             counted: 0.0,
             clock: 0.0,
             lost: None,
+            telling: false,
             not_before: 0.0,
             keys: false,
         }
@@ -133,8 +136,16 @@
         (self.opened, self.due, self.counted) = (Some(now), false, 0.0);
         let told = self.told(in_force);
         self.push(now, &Record::Checkpoint(Box::new(Checkpoint { module, state, told })));
-        if let Some(loss) = self.lost.take() {
+        if let Some(loss) = self.lost {
             self.push(now, &Record::Loss(loss));
+            self.telling = true;
+        }
+    }
+
+    /// The segment that was begun last is on the disk, with what it tells of a loss.
+    pub fn begun(&mut self) {
+        if std::mem::take(&mut self.telling) {
+            self.lost = None;
         }
     }
 
@@ -206,6 +217,7 @@
         let known = self.lost.unwrap_or(Loss { records: 0, from: Num::of(from) });
         self.lost = Some(Loss { records: known.records + records + waiting + queued, ..known });
         (self.opened, self.opening, self.not_before) = (None, None, now + AGAIN_MS);
+        self.telling = false;
     }
 
     /// Records that were lost and are not told of in a segment yet.
@@ -240,7 +252,14 @@
             step.actions
                 .extend(actions.iter().map(|action| convert::action_out(&mut self.batch, now, action)));
             self.push(now, &Record::Step(step));
-        } else if let Some(loss) = &mut self.lost {
+        } else {
+            self.miss();
+        }
+    }
+
+    /// A record is lost, as no segment is open after a loss.
+    fn miss(&mut self) {
+        if let Some(loss) = &mut self.lost {
             loss.records += 1;
         }
     }
@@ -249,8 +268,8 @@
         if self.is_open() {
             let record = record(&mut self.batch);
             self.push(at, &record);
-        } else if let Some(loss) = &mut self.lost {
-            loss.records += 1;
+        } else {
+            self.miss();
         }
     }
 
