--- a/crates/trace/src/block.rs
+++ b/crates/trace/src/block.rs
@@ -1,9 +1,10 @@
 //! Blocks: some entries with the names they use, compressed and guarded by a checksum, readable by themselves.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
+use zstd::bulk::Compressor;
 
 use crate::num::Num;
 use crate::record::{Entry, Kind, Name, Record};
@@ -22,6 +23,9 @@
 /// The level of zstd; higher ones gain nothing on these blocks, see `docs/measurements/trace.md`.
 const LEVEL: i32 = 1;
 
+/// Kinds of names.
+const KINDS: usize = 5;
+
 /// What stands before a payload.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Head {
@@ -87,7 +91,8 @@
 #[derive(Debug, Default)]
 pub struct Batch {
     names: Vec<(Kind, Arc<str>)>,
-    places: HashMap<(Kind, Arc<str>), Name>,
+    /// The places of names, by kind.
+    places: [FxHashMap<Arc<str>, Name>; KINDS],
     bytes: Vec<u8>,
     records: u32,
     first: f64,
@@ -99,12 +104,13 @@
 impl Batch {
     /// The place of a name in this block's table.
     pub fn name(&mut self, kind: Kind, text: &Arc<str>) -> Name {
-        if let Some(name) = self.places.get(&(kind, text.clone())) {
+        let places = &mut self.places[kind as usize];
+        if let Some(name) = places.get(&**text) {
             return *name;
         }
         let name = Name(self.names.len() as u32);
+        places.insert(text.clone(), name);
         self.names.push((kind, text.clone()));
-        self.places.insert((kind, text.clone()), name);
         name
     }
 
@@ -162,17 +168,18 @@
         (queries, std::mem::take(&mut self.called))
     }
 
-    /// The block as it is stored, as one of some source.
+    /// The block as it is stored, as one of some source, compressed by a compressor of [`compressor`]: making one for
+    /// each block costs more than compressing it.
     ///
     /// # Errors
     /// If it cannot be written down, which only a lack of memory or an absurd size can cause.
-    pub fn seal(&self, source: u16) -> Result<(Head, Vec<u8>), Error> {
+    pub fn seal(&self, source: u16, zstd: &mut Compressor<'static>) -> Result<(Head, Vec<u8>), Error> {
         let names: Vec<(Kind, &str)> = self.names.iter().map(|(kind, text)| (*kind, &**text)).collect();
         let mut raw = postcard::to_extend(&names, Vec::with_capacity(self.bytes.len() + 1024))?;
         raw.extend_from_slice(&self.bytes);
         let raw_len =
             u32::try_from(raw.len()).ok().filter(|len| *len <= MOST_PAYLOAD).ok_or(Error::TooLong)?;
-        let squeezed = zstd::bulk::compress(&raw, LEVEL)?;
+        let squeezed = zstd.compress(&raw)?;
         let (codec, stored) = if squeezed.len() < raw.len() { (ZSTD, squeezed) } else { (PLAIN, raw) };
         let head = Head {
             version: VERSION,
@@ -191,6 +198,14 @@
     }
 }
 
+/// What compresses blocks.
+///
+/// # Errors
+/// If there is no memory for it.
+pub fn compressor() -> std::io::Result<Compressor<'static>> {
+    Compressor::new(LEVEL)
+}
+
 /// A block that was read.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Block {
--- a/crates/trace/src/file.rs
+++ b/crates/trace/src/file.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Seek, SeekFrom, Write};
 
 use serde::{Deserialize, Serialize};
+use zstd::bulk::Compressor;
 
 use crate::block::{self, Batch, Block, Head};
 use crate::index::{BlockAt, Building, Index};
@@ -53,6 +54,7 @@
     out: W,
     at: u64,
     index: Building,
+    zstd: Compressor<'static>,
 }
 
 impl<W: Write> Writer<W> {
@@ -68,7 +70,8 @@
         bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
         bytes.extend_from_slice(&body);
         out.write_all(&bytes)?;
-        Ok(Writer { out, at: bytes.len() as u64, index: Building::default() })
+        let (at, index) = (bytes.len() as u64, Building::default());
+        Ok(Writer { out, at, index, zstd: block::compressor()? })
     }
 
     /// Adds a block of a source, if there is anything in it.
@@ -79,7 +82,7 @@
         if batch.records() == 0 {
             return Ok(());
         }
-        let (head, bytes) = batch.seal(source)?;
+        let (head, bytes) = batch.seal(source, &mut self.zstd)?;
         self.out.write_all(&bytes)?;
         let (queries, called) = batch.about();
         self.index.add(BlockAt::new(self.at, &head), &queries, &called);
