Ask one check which queries a class and group pick, in cuts and summaries alike

Need: reading the whole change again, `picked` repeated the check of `Only`, and opening a set had two arms that were the same.

Change: `Only::has` serves both; one arm is left. Behaviour stays.

Measured: fmt, clippy, all tests and docs of the workspace pass.

--- a/crates/trace/src/edit.rs
+++ b/crates/trace/src/edit.rs
@@ -156,10 +156,6 @@
     let named = pick.query.as_deref().map(|name| set.find(name)).transpose()?;
     let named: Option<BTreeSet<_>> = named.map(|found| found.into_iter().collect());
     let (mut fitting, mut at_store) = (BTreeSet::new(), BTreeSet::new());
-    let fits = |class: &str, group: Option<&str>| {
-        pick.only.class.as_deref().is_none_or(|only| only == class)
-            && pick.only.group.as_deref().is_none_or(|only| Some(only) == group)
-    };
     set.blockwise(span, |met| {
         let Met::Entry(source, block, entry) = met else { return };
         let told = match &entry.record {
@@ -168,7 +164,7 @@
             _ => None,
         };
         if let Some((query, class, group)) = told {
-            if fits(block.text(class), group.map(|group| block.text(group))) {
+            if pick.only.has(block.text(class), group.map(|group| block.text(group))) {
                 fitting.insert((source, query));
             }
         }
--- a/crates/trace/src/set.rs
+++ b/crates/trace/src/set.rs
@@ -70,10 +70,7 @@
                     }
                 }
             } else {
-                set.add(path).map_err(|error| match error {
-                    Error::Io(error) => Error::Other(format!("{}: {error}", path.display())),
-                    error => Error::Other(format!("{}: {error}", path.display())),
-                })?;
+                set.add(path).map_err(|error| Error::Other(format!("{}: {error}", path.display())))?;
             }
         }
         if set.segments.is_empty() {
--- a/crates/trace/src/summary.rs
+++ b/crates/trace/src/summary.rs
@@ -151,7 +151,8 @@
 }
 
 impl Only {
-    fn has(&self, class: &str, group: Option<&str>) -> bool {
+    /// Whether a query of a class and group counts.
+    pub fn has(&self, class: &str, group: Option<&str>) -> bool {
         let class_fits = self.class.as_deref().is_none_or(|only| only == class);
         class_fits && self.group.as_deref().is_none_or(|only| Some(only) == group)
     }
