Remember slow run stores for longer the more aggregators guess at them; spread calls to discovery

Change: rates and records last in proportion to balancers, from when the guesses of all take a tenth of a sound run store (in_turn); a called-back part is a sample; silence is no drop; the first call to discovery is the watch; a 503 is not repeated; waits after failures grow with balancers beyond four (src/asking.rs, beside the module), within ask_every_ms. Tests: tests/fleet.rs (100 Routers in virtual time), asking's own, two of the watch, one of idle silence; all but the second of asking's fail before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -165,6 +165,8 @@
     pub max_retry_after: Millis,
     /// How the list of replicas is learned.
     pub discovery: Discovery,
+    /// Where it must be asked for: it is asked for, or watched, at least once in so long.
+    pub ask_within: Millis,
     /// What cold replicas can bear, if a rule protects them.
     pub cold: Option<ColdRule>,
     /// The attempt budget, if one is stated.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
+use crate::asking::Asking;
 use crate::faded::Faded;
 use crate::hash::{draw, hash, mix};
 
@@ -15,6 +16,8 @@
 const INTERVAL_OF_AIM: f64 = 0.25;
 /// Intervals without a sample before a rate drifts, by half each, to the mean, and a class's spread to none.
 const DRIFT_AFTER: f64 = 6.0;
+/// Share of a sound replica's time that all routers together may take to find out whether it is slow still.
+const GUESS_SHARE: f64 = 0.1;
 /// A replica never heard, with none heard, does one cost unit in this part of the aim.
 const FIRST_RATE_OF_AIM: f64 = 0.1;
 /// Time between probes of a parked replica, of the shortest aim: it is missed for no longer than matters.
@@ -58,7 +61,7 @@
 const GROWTH: (f64, f64) = (0.5, 2.0);
 /// Late worth under this share is not worth late work while the fleet is pressed.
 const LATE_WORTH: f64 = 0.5;
-/// Advice to a refused client and the first wait to ask for the list again, of the aim.
+/// Advice to a refused client, of the aim.
 const WAIT_OF_AIM: f64 = 0.25;
 /// Share of sends on idle connections lost from which these are closed, at that share of a fatal idleness.
 const DROPS: f64 = 0.1;
@@ -80,8 +83,6 @@
 const QUOTA_SLACK: f64 = 5.0;
 /// Ticks between sweeps while queries are held.
 const SWEEP_TICKS: f64 = 2.0;
-/// Aims after which a request for the list has failed.
-const LIST_AIMS: f64 = 8.0;
 
 /// A replica's name, hashed: unlike text it is compared in one go.
 type ServerNo = u64;
@@ -187,9 +188,7 @@
     /// Parts to send, oldest query first, then by shard: neighbours of one query join the same calls.
     waiting: BTreeSet<(u64, Shard, usize)>,
     m: Measures,
-    subscribed: bool,
-    ask_at: Millis,
-    asks: u32,
+    asking: Asking,
     wake: Option<Millis>,
     #[serde(skip)]
     actions: Vec<Action>,
@@ -310,19 +309,13 @@
     }
 
     fn take_list(&mut self, news: ListNews) {
-        self.subscribed = !matches!(news, ListNews::Broken | ListNews::Cached(_));
-        let (lines, whole) = match news {
-            ListNews::Broken => {
-                // Growing, jittered waits: an overloaded discovery must not be asked by all at once.
-                self.asks = (self.asks + 1).min(5);
-                let wait = self.min_aim * f64::from(1u32 << self.asks) * WAIT_OF_AIM;
-                self.ask_at = self.now + wait * (0.5 + draw(&mut self.rng));
-                return;
-            }
-            ListNews::Full(lines) | ListNews::Cached(lines) => (lines, true),
-            ListNews::Changes(lines) => (lines, false),
+        let (by_service, whole) =
+            (!matches!(news, ListNews::Cached(_)), !matches!(news, ListNews::Changes(_)));
+        let (ListNews::Full(lines) | ListNews::Cached(lines) | ListNews::Changes(lines)) = news else {
+            let chance = draw(&mut self.rng);
+            return self.asking.failed(self.now, self.min_aim, (self.s.ask_within, self.s.routers), chance);
         };
-        self.asks = 0;
+        self.asking.told(by_service);
         if whole {
             self.servers.values_mut().for_each(|server| server.line.state = ReplicaState::Gone);
         }
@@ -416,7 +409,7 @@
     }
 
     fn note_outcome(&mut self, flight: &Flight, outcome: Outcome, latency: Millis, load: Option<LoadReport>) {
-        let (now, forgive) = (self.now, self.forgive);
+        let (now, forgive, forget) = (self.now, self.forgive, self.in_turn(self.forgive));
         // What drops idle connections unseen answers the next send at once.
         let quick = latency <= self.m.usual.unwrap_or(latency) * DROP_OF_USUAL;
         let dropped = outcome == Outcome::Reset && flight.idle.is_some() && quick;
@@ -428,6 +421,7 @@
         if let (true, Some(idle)) = (dropped || outcome == Outcome::Completed, flight.idle) {
             self.note_idle(idle, dropped);
         }
+        let known = self.servers.get(&flight.server).map_or(0.0, |server| self.rate(server, flight.class));
         let Some(server) = self.servers.get_mut(&flight.server) else { return };
         server.used = server.used.map(|_| now);
         server.died = if died { Some(now) } else { server.died };
@@ -443,7 +437,7 @@
             Outcome::Completed => {
                 server.dr = server.dr.filter(|_| self.back == now).or(Some(dr));
                 (server.heard, server.answered, server.parked, server.idle) = (now, now, None, None);
-                server.failed[flight.class].note(0.0, TRUST_STEP, now, forgive);
+                server.failed[flight.class].note(0.0, TRUST_STEP, now, forget);
                 if self.back < now {
                     self.measure(flight, latency);
                 }
@@ -455,7 +449,7 @@
                 server.answered = now;
                 // A connection that breaks ends many parts in one step, by one cause: it counts once.
                 if server.failed[flight.class].1 < now {
-                    server.failed[flight.class].note(1.0, TRUST_STEP, now, forgive);
+                    server.failed[flight.class].note(1.0, TRUST_STEP, now, forget);
                 }
             }
             // A replica that answered others meanwhile is slow, not gone: its rate says so.
@@ -467,6 +461,10 @@
             Outcome::TimedOut | Outcome::ConnectFailed => {
                 self.park(flight.server, outcome == Outcome::ConnectFailed);
             }
+            // What was called back took at least so long: of a slow replica often the only sample.
+            Outcome::Cancelled if self.back < now && dr < known => {
+                (server.dr, server.heard) = (Some(dr), now);
+            }
             Outcome::Cancelled | Outcome::NotSent => {}
         }
     }
@@ -520,10 +518,18 @@
     fn rate(&self, server: &Server, class: usize) -> f64 {
         let mean = self.mean_rate(class);
         let Some(dr) = server.dr else { return mean };
-        let stale = (self.now - server.heard) / (self.min_aim * INTERVAL_OF_AIM) - DRIFT_AFTER;
+        let after = self.in_turn(self.min_aim * INTERVAL_OF_AIM * DRIFT_AFTER);
+        let stale = ((self.now - server.heard) / after - 1.0) * DRIFT_AFTER;
         mean + (dr - mean) * 0.5f64.powf(stale.max(0.0))
     }
 
+    /// When one of many routers guesses anew at a replica, if a lone one does after so long. Each meets a replica
+    /// seldom: at the pace of a lone one all together would bury a slow one in guesses.
+    fn in_turn(&self, lone: Millis) -> Millis {
+        let rate = self.m.best.unwrap_or(1.0 / (self.min_aim * FIRST_RATE_OF_AIM));
+        lone.max(f64::from(self.s.routers) / (rate * GUESS_SHARE))
+    }
+
     /// Room at a cold replica, and the most there can be; `None` if it is warm. An own share of what it bears
     /// comes in evenly, from a start drawn by chance: few of many routers send at once, and none waits long.
     fn cold_room(&self, server: &Server, class: usize) -> Option<(f64, f64)> {
@@ -700,6 +706,8 @@
     /// The replica of the part's shard with the least finish; `None` if none may take it now.
     fn choose(&self, part: &Part, class: usize) -> Option<(ServerNo, Choice)> {
         let left = (self.interval() + 1) as f64 * self.min_aim * INTERVAL_OF_AIM - self.now;
+        let forget = self.in_turn(self.forgive);
+        let failed = |s: &Server, class: usize| s.failed[class].at(self.now, forget);
         let bears =
             |s: &Server| self.cold_room(s, class).is_none_or(|(room, most)| room >= part.cost.min(most));
         let mut pool: Vec<&Server> = self.servers.values().filter(|s| self.holds(s, part.shard)).collect();
@@ -714,13 +722,12 @@
             return None;
         }
         if parked {
-            let rated =
-                |s: &&&Server| self.rate(s, class) * (1.0 - s.failed[class].at(self.now, self.forgive));
+            let rated = |s: &&&Server| self.rate(s, class) * (1.0 - failed(s, class));
             let best = pool.iter().max_by(|a, b| rated(a).total_cmp(&rated(b)));
             return best.map(|s| (s.number, Choice::BestParked));
         }
         prefer(&mut pool, |s| s.parked.is_none());
-        prefer(&mut pool, |s| s.failed[class].at(self.now, self.forgive) < FAILING);
+        prefer(&mut pool, |s| failed(s, class) < FAILING);
         prefer(&mut pool, |s| !part.tried.contains(&s.number));
         // A record recovers with a few parts. What can't go again needs a longer memory.
         if self.s.classes[class].repeat == Repeat::Unsafe {
@@ -729,7 +736,7 @@
         // DR weighed by what the replica completes. An unsafe part can't go again after an error: there
         // its replica's worst record counts, and before speed.
         let speed = |s: &Server| {
-            let trust = |class: usize| 1.0 - s.failed[class].at(self.now, self.forgive);
+            let trust = |class: usize| 1.0 - failed(s, class);
             let trust = match self.s.classes[class].repeat {
                 Repeat::Unsafe => (0..s.failed.len()).map(trust).fold(1.0, f64::min).powi(TRUST_POWERS.1),
                 Repeat::Safe | Repeat::Keyed { .. } => trust(class).powi(TRUST_POWERS.0),
@@ -858,7 +865,7 @@
     /// at no budget's cost, and counts in the replica's record, which keeps unsafe parts away from it.
     fn retry_lost(&mut self, number: u64) {
         let Some(query) = self.queries.get(&number) else { return };
-        let (class, now, forgive) = (query.class, self.now, self.forgive);
+        let (class, now, forgive, forget) = (query.class, self.now, self.forgive, self.in_turn(self.forgive));
         let since = now - self.m.usual.unwrap_or(0.0) * SUSPECT_OF_USUAL;
         for (id, (attempt, server), _, attempts) in query.out_since(since) {
             let lost = |f: &&mut Flight| f.cancelled.is_none() && f.overtaken >= OVERTAKEN;
@@ -866,7 +873,7 @@
             // It counts once, also where it stays out.
             flight.overtaken = 0;
             if let Some(server) = self.servers.get_mut(&server) {
-                server.failed[class].note(1.0, TRUST_STEP, now, forgive);
+                server.failed[class].note(1.0, TRUST_STEP, now, forget);
                 server.lost.note(1.0, SMOOTH, now, forgive);
             }
             if self.s.classes[class].repeat != Repeat::Unsafe && attempts < self.s.max_attempts {
@@ -891,13 +898,9 @@
                 continue;
             }
             let again = safe && attempts < self.s.max_attempts;
-            // Silence on a connection that had been idle, where such are dropped, is not the replica's.
-            let flight = self.flights.get_mut(&(id.clone(), attempt)).filter(|f| f.cancelled.is_none());
-            let idle = flight.and_then(|f| f.idle.take());
-            if let Some(idle) = idle {
-                self.note_idle(idle, true);
-            }
-            let dropped = idle.is_some() && self.drops() > DROPS;
+            // Silence on an idle connection is not the replica's only where resets say that such are dropped.
+            let flight = self.flights.get(&(id.clone(), attempt)).filter(|f| f.cancelled.is_none());
+            let dropped = flight.is_some_and(|f| f.idle.is_some()) && self.drops() > DROPS;
             let parked = !dropped && self.park(server, false);
             if again && (dropped || (parked && !none && self.m.further >= 1.0)) {
                 self.cancel(&id, attempt, if dropped { Why::Dropped } else { Why::Silent });
@@ -978,8 +981,7 @@
                 server.parked = None;
             }
         }
-        if self.s.discovery == Discovery::Asked && !self.subscribed && now >= self.ask_at {
-            self.ask_at = now + self.min_aim * LIST_AIMS;
+        if self.s.discovery == Discovery::Asked && self.asking.is_due(now, self.min_aim) {
             self.actions.push(Action::Subscribe);
         }
     }
--- a/src/directory/watch.rs
+++ b/src/directory/watch.rs
@@ -70,17 +70,16 @@
 
     /// Follows the list until a call fails.
     async fn follow(&self, address: SocketAddr, client: &mut Option<Client>) -> io::Error {
-        // The first call does not wait: the core is to know at once that it is up to date.
-        let mut wait = Duration::ZERO;
         loop {
             let kept = client.is_some();
-            let mut answer = self.call(address, client, wait).await;
+            let mut answer = self.call(address, client).await;
             // A kept connection may have been closed meanwhile, which is no failure of the service. A new
-            // one keeps the watch unbroken. A call that took its whole time is not made twice.
-            if kept && answer.as_ref().is_err_and(|error| error.kind() != io::ErrorKind::TimedOut) {
+            // one keeps the watch unbroken. What the service has answered is not asked again at once: it has
+            // said that it has too much to do, and all aggregators would ask twice just then.
+            if kept && answer.as_ref().is_err_and(closed) {
                 self.ended(address, Reason::PeerClosed, "the kept connection was closed");
                 *client = None;
-                answer = self.call(address, client, wait).await;
+                answer = self.call(address, client).await;
             }
             match answer {
                 Ok(list) => {
@@ -89,21 +88,16 @@
                 }
                 Err(error) => return error,
             }
-            wait = WAIT;
         }
     }
 
-    async fn call(
-        &self,
-        address: SocketAddr,
-        client: &mut Option<Client>,
-        wait: Duration,
-    ) -> io::Result<List> {
-        let target = match self.index.get() {
-            None => "/v1/servers".to_string(),
-            Some(index) => format!("/v1/servers?after={index}&wait_ms={}", wait.as_millis()),
+    async fn call(&self, address: SocketAddr, client: &mut Option<Client>) -> io::Result<List> {
+        // One call both tells what changed and begins the watch: a first one that only asks would be a second
+        // call of each aggregator just when all start.
+        let (target, limit) = match self.index.get() {
+            None => ("/v1/servers".to_string(), FIRST),
+            Some(index) => (format!("/v1/servers?after={index}&wait_ms={}", WAIT.as_millis()), WAIT + GRACE),
         };
-        let limit = if wait.is_zero() { FIRST } else { wait + GRACE };
         let mut open = match client.take() {
             Some(open) => open,
             None => Client::connect(address, CONNECT, MOST_LIST).await?,
@@ -128,6 +122,12 @@
     }
 }
 
+/// Whether a call failed with its connection, and not by an answer or by its time.
+fn closed(error: &io::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, UnexpectedEof};
+    matches!(error.kind(), BrokenPipe | ConnectionAborted | ConnectionReset | UnexpectedEof)
+}
+
 impl Directory for Rc<Watch> {
     fn watch(&self) {
         if !self.on.replace(true) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub struct Readme;
 
 pub mod api;
+pub mod asking;
 pub mod cli;
 pub mod config;
 pub mod core;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -157,6 +157,7 @@
     pub further_ratio: Option<f64>,
     pub min_extra: Option<f64>,
     pub resend_span_ms: Option<f64>,
+    pub ask_every_ms: Option<f64>,
 }
 
 /// The names that settings gave to classes and tenants, by their place.
@@ -235,6 +236,7 @@
                 Some("subscribe") => api::Discovery::Asked,
                 _ => api::Discovery::Pushed,
             },
+            ask_within: rules.ask_every_ms.unwrap_or(10_000.0),
             cold: cold(),
             budget: budget(),
             tick: self.tick_ms.unwrap_or(1.0),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -36,6 +36,7 @@
         probes: true,
         max_retry_after: 500.0,
         discovery: Discovery::Pushed,
+        ask_within: 10_000.0,
         cold: None,
         budget: None,
         tick: 5.0,
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,161 @@
+//! Many routers that share nothing, in front of the same replicas: what is harmless in one and hurts when all do
+//! it. Time is virtual and chance is seeded.
+
+mod common;
+use std::collections::{BTreeMap, HashMap};
+
+use common::*;
+use ironpaddle::api::*;
+use ironpaddle::Router;
+
+const TICK: Millis = 5.0;
+const TICKS_A_SECOND: u64 = 200;
+
+/// How a replica takes parts.
+#[derive(Clone, Copy)]
+enum Does {
+    /// Each is answered after so many ticks.
+    Answers(u64),
+    /// Each is turned away in the next tick.
+    TurnsAway,
+}
+
+/// An attempt that is out: of which router, part and replica, and when it was sent.
+type Out = (usize, PartId, Attempt, ReplicaId, u64);
+
+/// Routers and replicas, stepped tick by tick.
+struct Fleet {
+    routers: Vec<Router>,
+    does: BTreeMap<&'static str, Does>,
+    /// What ends in a tick.
+    ends: BTreeMap<u64, Vec<(Out, Outcome)>>,
+    attempts: HashMap<(usize, PartId), u32>,
+    /// Probes, which replicas answer beside their queues.
+    probed: Vec<(usize, ReplicaId)>,
+    sent: BTreeMap<String, usize>,
+    tick: u64,
+    queries: u64,
+}
+
+impl Fleet {
+    fn new(routers: u32, does: &[(&'static str, Does)]) -> Self {
+        let settings = Settings { routers, call_parts: 1, ..settings(Repeat::Safe) };
+        let names: Vec<&str> = does.iter().map(|(name, _)| *name).collect();
+        let router = |seed| {
+            let mut router = Router::new(settings.clone(), seed).expect("settings are sound");
+            router.step(0.0, vec![fleet(&names)]);
+            router
+        };
+        Fleet {
+            routers: (0..u64::from(routers)).map(router).collect(),
+            does: does.iter().copied().collect(),
+            ends: BTreeMap::new(),
+            attempts: HashMap::new(),
+            probed: Vec::new(),
+            sent: BTreeMap::new(),
+            tick: 0,
+            queries: 0,
+        }
+    }
+
+    /// Lets seconds pass in which each router has a query of some parts once a second, each at a time of its own;
+    /// says how many parts each replica was sent meanwhile.
+    fn run(&mut self, seconds: u64, parts: u32) -> BTreeMap<String, usize> {
+        self.sent.clear();
+        for _ in 0..seconds * TICKS_A_SECOND {
+            self.tick += 1;
+            let mut events: Vec<Vec<Event>> = vec![vec![Event::Wake]; self.routers.len()];
+            for ((at, part, attempt, replica, sent), outcome) in
+                self.ends.remove(&self.tick).unwrap_or_default()
+            {
+                let latency = (self.tick - sent) as f64 * TICK;
+                let end = AttemptEnded { part, attempt, replica, outcome, latency, load: None };
+                events[at].push(Event::AttemptEnded(end));
+            }
+            for (at, replica) in self.probed.drain(..) {
+                events[at].push(Event::ProbeEnded { replica, ok: true, load: None });
+            }
+            for (at, mut events) in events.into_iter().enumerate() {
+                let now = self.tick as f64 * TICK;
+                if (self.tick + at as u64 * 7).is_multiple_of(TICKS_A_SECOND) {
+                    self.queries += 1;
+                    events.extend(query(self.queries, parts, now + 3000.0));
+                }
+                let actions = self.routers[at].step(now, events);
+                actions.into_iter().for_each(|action| self.carry(at, action));
+            }
+        }
+        self.sent.clone()
+    }
+
+    fn carry(&mut self, at: usize, action: Action) {
+        match action {
+            Action::Send { part, replica, .. } => {
+                *self.sent.entry(replica.0.to_string()).or_default() += 1;
+                let count = self.attempts.entry((at, part.clone())).or_default();
+                let attempt = Attempt(*count);
+                *count += 1;
+                let (ticks, outcome) = match self.does[&*replica.0] {
+                    Does::Answers(ticks) => (ticks, Outcome::Completed),
+                    Does::TurnsAway => (1, Outcome::Rejected),
+                };
+                let out = (at, part, attempt, replica, self.tick);
+                self.ends.entry(self.tick + ticks).or_default().push((out, outcome));
+            }
+            // The router hears of it in the next tick.
+            Action::Cancel { part, attempt, .. } => {
+                let named = |(out, _): &(Out, Outcome)| out.0 == at && out.1 == part && out.2 == attempt;
+                for ends in self.ends.values_mut() {
+                    if let Some(index) = ends.iter().position(named) {
+                        let (out, _) = ends.remove(index);
+                        self.ends.entry(self.tick + 1).or_default().push((out, Outcome::Cancelled));
+                        return;
+                    }
+                }
+            }
+            Action::Probe { replica } => self.probed.push((at, replica)),
+            _ => {}
+        }
+    }
+}
+
+/// What a slow replica is sent in a second by so many routers, once they know it. Sound ones take two ticks.
+fn guesses(routers: u32, does: Does) -> f64 {
+    let sound = Does::Answers(2);
+    let mut fleet = Fleet::new(routers, &[("a", sound), ("b", sound), ("c", sound), ("slow", does)]);
+    fleet.run(6, 8);
+    let sent = fleet.run(20, 8);
+    sent.get("slow").copied().unwrap_or(0) as f64 / 20.0
+}
+
+/// A replica that takes 80 times as long does 2.5 parts a second. A hundred routers that each forget that within
+/// seconds send it as many as its fellows get.
+#[test]
+fn guesses_at_a_slow_replica_do_not_grow_with_the_routers() {
+    let lone = guesses(1, Does::Answers(160));
+    let many = guesses(100, Does::Answers(160));
+    assert!(lone > 0.0, "a healed one would never be found again");
+    assert!(many <= 20.0, "{many} parts a second from a hundred routers, {lone} from one");
+}
+
+/// A full queue tells of itself by nothing but turning parts away, which each router meets for itself.
+#[test]
+fn a_replica_that_turns_parts_away_is_remembered_by_many_routers() {
+    let many = guesses(100, Does::TurnsAway);
+    assert!(many <= 20.0, "{many} parts a second from a hundred routers");
+}
+
+/// A part that is called back from a slow replica never completes there: how long it waited is all that tells.
+#[test]
+fn a_part_called_back_counts_as_a_sample_of_a_slow_replica() {
+    let sound = Does::Answers(2);
+    let mut fleet = Fleet::new(1, &[("a", sound), ("b", sound), ("c", sound), ("slow", Does::Answers(600))]);
+    fleet.run(2, 8);
+    let rated = |fleet: &Fleet| {
+        let (_, servers): (serde_json::Value, Vec<serde_json::Value>) =
+            serde_json::from_str(&fleet.routers[0].learned()).expect("it can be read");
+        servers.iter().map(|s| s["dr"].as_f64().unwrap_or(f64::INFINITY)).fold(f64::INFINITY, f64::min)
+    };
+    // Sound ones do a part in 10 ms; one that was silent for the patience of 400 ms does it in no less.
+    assert!(rated(&fleet) <= 1.0 / 400.0, "{}", rated(&fleet));
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -168,6 +168,26 @@
     aggregator.board.tell(json!([line(0, aggregator.stores[0], "ready", 0)]));
 }
 
+#[test]
+fn what_discovery_turned_down_is_not_asked_again_at_once() {
+    let aggregator = Aggregator::start(Wire::Frames, 2);
+    let ready = || json!([line(0, aggregator.stores[0], "ready", 0)]);
+    aggregator.board.tell(ready());
+    // The call that is out is answered, and the next one gets a 503 on the same connection.
+    aggregator.board.change(|state| state.failures = 2);
+    aggregator.board.list(ready());
+    let ended = aggregator.logged("end discovery");
+    assert!(ended.contains("status 503"), "{ended}");
+}
+
+/// All aggregators of a fleet may start at once: each costs discovery one call then, which asks and watches in one.
+#[test]
+fn the_first_call_to_discovery_is_the_watch() {
+    let aggregator = Aggregator::start(Wire::Frames, 2);
+    aggregator.board.wait("a call", |state| state.calls > 0);
+    assert!(aggregator.board.read(|state| state.waits[0]) > 0);
+}
+
 #[test]
 fn a_reload_moves_the_watch_out_of_a_hanging_call_and_asks_for_the_whole_list() {
     for wire in WIRES {
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -65,6 +65,8 @@
     pub looks: usize,
     /// Whether discovery takes calls and answers none.
     pub hangs: bool,
+    /// How long each call to discovery that names a version is to wait for news, in milliseconds.
+    pub waits: Vec<usize>,
     /// Calls to discovery.
     pub calls: usize,
     /// Calls that discovery is still to fail, by turns with a 503 and by breaking off.
@@ -289,6 +291,7 @@
             let wait = Duration::from_millis(number("wait_ms=").unwrap_or(0) as u64);
             let mut state = board.state.lock().unwrap();
             state.calls += 1;
+            state.waits.extend(number("wait_ms="));
             if state.hangs {
                 drop(state);
                 board.changed.notify_all();
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -277,6 +277,27 @@
     assert!(closed(&run(&mut router, now + 60.0, now + 1500.0)) > 0);
 }
 
+/// Of many routers each finds its connections idle, and replicas stand still now and then: if that counted as
+/// connections that something drops, all would close theirs and open them again.
+#[test]
+fn silence_on_idle_connections_closes_none() {
+    let names = ["a", "b", "c", "d"];
+    let (mut router, mut now) =
+        settled(Settings { keep_alive: Some(15_000.0), ..settings(Repeat::Safe) }, &names);
+    let mut actions = Vec::new();
+    for n in 1..=4 {
+        // Idle for longer than the aim, then silent for longer than patience, then all is answered.
+        actions.extend(run(&mut router, now, now + 1500.0));
+        now += 1505.0;
+        let sent = sends(&router.step(now, query(n, 4, now + 3000.0)));
+        actions.extend(run(&mut router, now + 5.0, now + 700.0));
+        let events = sent.iter().map(|(part, to)| ended(part, 0, to, Outcome::Completed, 700.0)).collect();
+        actions.extend(router.step(now + 705.0, events));
+        now += 710.0;
+    }
+    assert_eq!(closed(&actions), 0);
+}
+
 #[test]
 fn without_a_told_keep_alive_no_connection_is_closed() {
     let (mut router, now) = settled(settings(Repeat::Safe), &["a", "b", "c", "d"]);
