Give run stores up to half of the descriptors where the list names many

All aggregators stood at 103 to 107 descriptors of 512: Config::store_connections gave run stores a fifth of the descriptors, 89 connections, and transport/frames answers a call beyond that with ConnectFailed at once (fn connection, fn put). The router then takes a sound run store for unreachable and parks it.

Run stores may have up to half of the descriptors, two for each that the list at the start names; clients keep a third at least, the most that their requests may hold. Where the list is short the shares are as they were.

--- a/src/config.rs
+++ b/src/config.rs
@@ -313,13 +313,19 @@
     }
 
     /// How many connections clients may hold, where another process of this aggregator holds so many descriptors.
+    /// An eighth more is borne to be turned away.
     pub fn client_connections(&self, elsewhere: usize) -> usize {
-        (self.descriptors(elsewhere) * 2 / 3).max(LEAST_CONNECTIONS)
+        let rest = self.descriptors(elsewhere);
+        let left = rest.saturating_sub(self.store_connections(elsewhere)) * 8 / 9;
+        left.min(rest * 2 / 3).max(LEAST_CONNECTIONS)
     }
 
-    /// How many connections to run stores there may be.
+    /// How many connections to run stores there may be: a fifth, and up to half where there are many run stores, as
+    /// each is to have one, and those that are replaced have theirs a while longer.
     pub fn store_connections(&self, elsewhere: usize) -> usize {
-        (self.descriptors(elsewhere) / 5).max(LEAST_CONNECTIONS)
+        let rest = self.descriptors(elsewhere);
+        let wanted = self.known.endpoints.len() * 2;
+        wanted.min(rest / 2).max(rest / 5).max(LEAST_CONNECTIONS)
     }
 
     fn descriptors(&self, elsewhere: usize) -> usize {
@@ -386,6 +392,29 @@
         assert!(config.client_connections(5000) > 0, "however much the other holds");
     }
 
+    #[test]
+    fn each_of_many_run_stores_may_have_a_connection() {
+        let with = |sockets: usize, run_stores: usize| {
+            let line = r#"{"name":"s","group":0,"status":"ready"}"#;
+            let known = vec![line; run_stores].join(",");
+            let known = format!(r#""known":{{"snapshot":true,"endpoints":[{known}]}}"#);
+            parse(&format!(
+                r#""discovery":"127.0.0.1:1","limits":{{"sockets":{sockets}}},{known},{SETTINGS}"#
+            ))
+            .unwrap()
+        };
+        for sockets in [512, 544, 640, 1024] {
+            let config = with(sockets, 200);
+            let (clients, stores) = (config.client_connections(0), config.store_connections(0));
+            assert!(stores >= 200, "{stores} of {sockets}");
+            // A third of the descriptors may be held by clients for requests.
+            assert!(clients >= sockets / 3, "{clients} of {sockets}");
+            assert!(clients + clients / 8 + stores + SPARE_DESCRIPTORS <= sockets);
+        }
+        let few = with(1024, 14);
+        assert_eq!((few.client_connections(0), few.store_connections(0)), (640, 192), "as it was");
+    }
+
     #[test]
     fn messages_name_the_faulty_key() {
         let discovery = r#""discovery":"127.0.0.1:1""#;
