Let calls wait for room, refuse unsent what its client will not wait for, spare full run stores

`admit` looked at the class's aim only, and `note_pace` counted such a query as its class's whole aim, as if the fleet were slow. Ruled out: cold run stores, discovery, memory (docs/FLEET.md).

A call waits until an idle connection has made room, at most the time in which one comes up, and ends as not sent then. A query is refused at once if its class usually takes longer than its client waits; what such clients cut short is no sample. A full run store that is the last one left is asked again after the patience that a last try had already.

Each of the four tests was seen to fail without its fix.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -202,7 +202,7 @@
     /// What a sound replica does with little else to do: the guide to what a cold one can carry.
     best: Option<f64>,
     /// By class: how long its queries take, in usual latencies of a part, and when one last told.
-    spread: Vec<(f64, Millis)>,
+    spread: Vec<Faded>,
     density: Option<f64>,
     /// By tenant: what is left of its own share, and when that was reckoned.
     quota: Vec<(f64, Millis)>,
@@ -247,7 +247,7 @@
         let (classes, now) = (settings.classes.len(), self.now);
         self.min_aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         self.forgive = self.min_aim * FORGIVE_AIMS;
-        self.m.spread.resize(classes, (0.0, 0.0));
+        self.m.spread.resize(classes, Faded::default());
         self.m.quota = settings.tenants.iter().map(|t| (t.quota_per_s, now)).collect();
         self.servers.values_mut().for_each(|server| server.failed.resize(classes, Faded(0.0, now)));
         self.s = settings;
@@ -561,10 +561,13 @@
             let growth = (load / self.m.load_then.unwrap_or(load).max(cost * 0.5)).clamp(GROWTH.0, GROWTH.1);
             let factor = (density / usual.max(f64::MIN_POSITIVE)).sqrt();
             let predicted = self.pace(class) * growth;
-            if !self.busy() {
+            // What its client will not wait for is work for nobody, however idle the fleet.
+            let spread = self.m.spread[class].at(self.now, self.in_turn(self.forgive));
+            let vain = spread * self.m.usual.unwrap_or(0.0) > query.deadline - self.now;
+            if !vain && !self.busy() {
                 continue;
             }
-            if predicted > ADMIT_AT * factor.clamp(ADMIT_RANGE.0, ADMIT_RANGE.1) {
+            if vain || predicted > ADMIT_AT * factor.clamp(ADMIT_RANGE.0, ADMIT_RANGE.1) {
                 let within = query.worth >= self.s.classes[class].worth;
                 self.end_query(number, false, if within { Cause::PredictedLate } else { Cause::BeyondShare });
             } else if predicted > PRESSED_AT {
@@ -594,20 +597,20 @@
     }
 
     fn note_pace(&mut self, number: u64, served: bool) {
-        let Some(query) = self.queries.get(&number) else { return };
-        // One cut short would have taken longer: its aim stands for that. One hung replica is no slow fleet.
+        // One cut short would have taken longer: its aim stands for that, if its client meant to wait for it.
+        let meant = |q: &&Query| served || q.deadline - q.accepted >= self.s.classes[q.class].aim;
+        let Some(query) = self.queries.get(&number).filter(meant) else { return };
         let until = if served { query.enough_at.unwrap_or(self.now) } else { self.now };
-        let least = if served { 0.0 } else { self.s.classes[query.class].aim };
-        let took = (until - query.accepted).max(least);
+        let took = (until - query.accepted).max(if served { 0.0 } else { self.s.classes[query.class].aim });
         let spread = took / self.m.usual.unwrap_or(took).max(self.s.tick);
         let (class, known) = (query.class, self.spread(query.class));
-        self.m.spread[class] = (known + SMOOTH_QUERIES * (spread - known), self.now);
+        self.m.spread[class] = Faded(known + SMOOTH_QUERIES * (spread - known), self.now);
     }
 
     /// A class of which all is refused tells nothing more: what is known of it goes stale, as a rate does, or
     /// one bad moment would turn the class away for good.
     fn spread(&self, class: usize) -> f64 {
-        let (spread, at) = self.m.spread[class];
+        let Faded(spread, at) = self.m.spread[class];
         let stale = (self.now - at) / (self.min_aim * INTERVAL_OF_AIM) - DRIFT_AFTER;
         spread * 0.5f64.powf(stale.max(0.0))
     }
@@ -710,8 +713,8 @@
         let choice = if pool.len() == 1 { Choice::Only } else { Choice::Least };
         let parked = pool.iter().all(|s| s.parked.is_some());
         // Where all are parked or full, tries are not thrown at them at once, nor is the last.
-        let spent =
-            part.attempts + 1 >= self.s.max_attempts || pool.iter().all(|s| part.tried.contains(&s.number));
+        let full = |s: &&Server| s.parked.is_some() || part.tried.contains(&s.number);
+        let spent = part.attempts + 1 >= self.s.max_attempts || pool.iter().all(full);
         let wait = parked || (part.why == Why::After(Outcome::Rejected) && spent);
         if part.attempts > 0 && wait && self.now - part.last_sent < self.patience(class) {
             return None;
@@ -794,12 +797,11 @@
     }
 
     fn cancel(&mut self, id: &PartId, attempt: Attempt, why: Why) {
-        if let Some(flight) = self.flights.get_mut(&(id.clone(), attempt)) {
-            if self.s.may_cancel && flight.cancelled.is_none() {
-                flight.cancelled = Some(why);
-                self.load_out = (self.load_out - flight.cost).max(0.0);
-                self.actions.push(Action::Cancel { part: id.clone(), attempt, why });
-            }
+        let out = self.flights.get_mut(&(id.clone(), attempt)).filter(|f| f.cancelled.is_none());
+        if let (Some(flight), true) = (out, self.s.may_cancel) {
+            flight.cancelled = Some(why);
+            self.load_out = (self.load_out - flight.cost).max(0.0);
+            self.actions.push(Action::Cancel { part: id.clone(), attempt, why });
         }
     }
 
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -4,7 +4,7 @@
 pub mod link;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,11 +37,24 @@
     connections: Vec<Rc<Connection>>,
 }
 
+/// Why there is no connection for a call.
+enum Lack {
+    /// There may be no more of them for now.
+    Room,
+    /// The run store takes nothing new, or it is not known where it listens.
+    Place,
+}
+
+/// How a call is put on a connection.
+type Push = fn(&mut Link, Call);
+
 /// The transport.
 pub struct Frames {
     driver: Rc<Driver>,
     limits: Cell<Limits>,
     places: RefCell<BTreeMap<ReplicaId, Place>>,
+    /// Calls for which there is no room for a connection yet, oldest first.
+    waiting: RefCell<VecDeque<(Call, Push)>>,
     open: Cell<usize>,
 }
 
@@ -69,18 +82,24 @@
 impl Frames {
     /// A transport that reports to a driver.
     pub fn new(driver: Rc<Driver>, limits: Limits) -> Rc<Self> {
-        Rc::new(Frames { driver, limits: Cell::new(limits), places: RefCell::default(), open: Cell::new(0) })
+        Rc::new(Frames {
+            driver,
+            limits: Cell::new(limits),
+            places: RefCell::default(),
+            waiting: RefCell::default(),
+            open: Cell::new(0),
+        })
     }
 
-    /// A connection with room, or a new one; `None` if there may be no more.
+    /// A connection with room, or a new one, or what is lacking for it.
     ///
     /// While one is coming up, what follows waits for it: a run store that has just started meets one new
     /// connection of this aggregator, not one for each part. A connection may fall silent by itself: what follows
     /// goes on a new one, and the router learns from answers on that one what is lost on the old.
-    fn connection(self: &Rc<Self>, replica: &ReplicaId) -> Option<Rc<Connection>> {
+    fn connection(self: &Rc<Self>, replica: &ReplicaId) -> Result<Rc<Connection>, Lack> {
         let mut places = self.places.borrow_mut();
-        let place = places.get_mut(replica).filter(|place| !place.retired)?;
-        let (address, _) = place.at?;
+        let place = places.get_mut(replica).filter(|place| !place.retired).ok_or(Lack::Place)?;
+        let (address, _) = place.at.ok_or(Lack::Place)?;
         let now = Instant::now();
         let room = |c: &&Rc<Connection>| {
             let link = c.link.borrow();
@@ -88,12 +107,12 @@
         };
         let speaks = |c: &&Rc<Connection>| room(c) && !c.link.borrow().is_silent(now);
         if let Some(connection) = place.connections.iter().find(speaks) {
-            return Some(connection.clone());
+            return Ok(connection.clone());
         }
         let last = place.connections.iter().filter(room).max_by_key(|c| c.link.borrow().heard());
         let many = last.is_some() && place.connections.len() >= MOST_AT_ONE;
         if many || self.open.get() >= self.limits.get().connections {
-            return last.cloned();
+            return last.cloned().ok_or(Lack::Room);
         }
         let usual = last.map_or(self.limits.get().connect.mul_f64(FIRST_USUAL), |c| c.link.borrow().usual());
         let connection = Rc::new(Connection {
@@ -106,7 +125,7 @@
         self.open.set(self.open.get() + 1);
         let task = self.clone().keep(replica.clone(), address, connection.clone());
         self.driver.executor().spawn(task).detach();
-        Some(connection)
+        Ok(connection)
     }
 
     /// The life of a connection, from before it is up to its line in the log.
@@ -134,6 +153,7 @@
         for call in queued {
             self.put(call, Link::push_again);
         }
+        self.put_waiting();
     }
 
     /// Keeps nothing of a run store that is retired and has no connection left: most never come back.
@@ -144,13 +164,61 @@
         }
     }
 
-    fn put(self: &Rc<Self>, call: Call, push: fn(&mut Link, Call)) {
+    /// Puts a call on a connection. Where there may be no more of them, one that stands idle makes room, as soon as one
+    /// does: that this aggregator holds many connections says nothing of the run store, which is not even asked.
+    fn put(self: &Rc<Self>, call: Call, push: Push) {
+        let no = call.no;
+        if self.try_put(call, push) {
+            return;
+        }
+        self.close_longest_idle();
+        let (frames, limit) = (self.clone(), self.limits.get().connect);
+        let given_up = async move {
+            Timer::after(limit).await;
+            for no in frames.take_waiting(|call| call.no == no) {
+                frames.driver.call_ended(no, CallEnd::bare(Outcome::NotSent));
+            }
+        };
+        self.driver.executor().spawn(given_up).detach();
+    }
+
+    /// Puts a call on a connection, or lets it wait for room: then it is `false`.
+    fn try_put(self: &Rc<Self>, call: Call, push: Push) -> bool {
         match self.connection(&call.replica) {
-            Some(connection) => {
+            Ok(connection) => {
                 push(&mut connection.link.borrow_mut(), call);
                 connection.wake();
             }
-            None => self.driver.call_ended(call.no, CallEnd::bare(Outcome::ConnectFailed)),
+            Err(Lack::Place) => self.driver.call_ended(call.no, CallEnd::bare(Outcome::ConnectFailed)),
+            Err(Lack::Room) => {
+                self.waiting.borrow_mut().push_back((call, push));
+                return false;
+            }
+        }
+        true
+    }
+
+    /// There may be room for what waits.
+    fn put_waiting(self: &Rc<Self>) {
+        for (call, push) in self.waiting.take() {
+            self.try_put(call, push);
+        }
+    }
+
+    /// Takes calls from those that wait; says which.
+    fn take_waiting(&self, which: impl Fn(&Call) -> bool) -> Vec<CallNo> {
+        let mut waiting = self.waiting.borrow_mut();
+        let taken = waiting.iter().filter(|(call, _)| which(call)).map(|(call, _)| call.no).collect();
+        waiting.retain(|(call, _)| !which(call));
+        taken
+    }
+
+    fn close_longest_idle(&self) {
+        let places = self.places.borrow();
+        let idle = |c: &&Rc<Connection>| c.closing.get().is_none() && c.link.borrow().is_idle();
+        let all = places.values().flat_map(|place| &place.connections);
+        if let Some(connection) = all.filter(idle).min_by_key(|c| c.link.borrow().heard()) {
+            connection.close(Reason::Full);
         }
     }
 
@@ -230,7 +298,8 @@
             if suspect && load == 0 {
                 return Ok(Reason::Silent);
             }
-            if let Some(reason) = connection.closing.get().filter(|_| idle) {
+            let wanted = (!self.waiting.borrow().is_empty()).then_some(Reason::Full);
+            if let Some(reason) = connection.closing.get().or(wanted).filter(|_| idle) {
                 return Ok(reason);
             }
             let woken = async {
@@ -272,6 +341,7 @@
     }
 
     fn give_up(&self, replica: &ReplicaId, no: CallNo) {
+        self.take_waiting(|call| call.no == no);
         self.each(replica, |connection| {
             if connection.link.borrow_mut().give_up(no, Instant::now()) {
                 connection.wake();
@@ -281,11 +351,17 @@
 
     fn probe(&self, replica: &ReplicaId, no: CallNo) {
         match self.connection(replica) {
-            Some(connection) => {
+            Ok(connection) => {
                 connection.link.borrow_mut().push_probe(no);
                 connection.wake();
             }
-            None => self.driver.probe_ended(no, false, None),
+            Err(lack) => {
+                if matches!(lack, Lack::Room) {
+                    // The next probe finds room.
+                    self.close_longest_idle();
+                }
+                self.driver.probe_ended(no, false, None);
+            }
         }
     }
 
@@ -309,6 +385,9 @@
         if let Some(place) = self.places.borrow_mut().get_mut(replica) {
             place.retired = true;
         }
+        for no in self.take_waiting(|call| call.replica == *replica) {
+            self.driver.call_ended(no, CallEnd::bare(Outcome::NotSent));
+        }
         self.each(replica, |connection| {
             let ended = connection.link.borrow_mut().retire();
             connection.close(Reason::Retired);
@@ -327,6 +406,7 @@
 
     fn room(&self, connections: usize) {
         self.limits.set(Limits { connections, ..self.limits.get() });
+        self.put_waiting();
     }
 
     fn retune(&self, info: &Info) {
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -56,6 +56,8 @@
 enum Stage {
     Connecting,
     Idle,
+    /// It stood idle, and is being closed to make room.
+    Leaving,
     /// It has this job, whose request is not wholly written.
     Begun(CallNo),
     /// It has this job, whose request is wholly written.
@@ -81,6 +83,8 @@
     driver: Rc<Driver>,
     limits: Cell<Limits>,
     places: RefCell<BTreeMap<ReplicaId, Place>>,
+    /// Run stores for whose first connection there is no room yet, in order.
+    lacking: RefCell<VecDeque<ReplicaId>>,
     open: Cell<usize>,
 }
 
@@ -91,6 +95,7 @@
             driver,
             limits: Cell::new(limits),
             places: RefCell::default(),
+            lacking: RefCell::default(),
             open: Cell::new(0),
         })
     }
@@ -130,9 +135,8 @@
             if self.open.get() >= self.limits.get().connections {
                 // With no connection at all, nobody would ever come for the queue.
                 if place.workers.is_empty() {
-                    let refused = std::mem::take(&mut place.queue);
                     drop(places);
-                    refused.iter().for_each(|job| self.end(job, Outcome::ConnectFailed));
+                    self.lack_room(replica);
                 }
                 return;
             }
@@ -148,6 +152,40 @@
         }
     }
 
+    /// A run store's queue waits for room, which the next connection that stands idle makes: that this aggregator holds
+    /// many says nothing of the run store, which is not even asked.
+    fn lack_room(self: &Rc<Self>, replica: &ReplicaId) {
+        if self.lacking.borrow().contains(replica) {
+            return;
+        }
+        self.lacking.borrow_mut().push_back(replica.clone());
+        let places = self.places.borrow();
+        let idle = |worker: &&Rc<Worker>| worker.stage.get() == Stage::Idle;
+        if let Some(worker) = places.values().flat_map(|place| &place.workers).find(idle) {
+            worker.stage.set(Stage::Leaving);
+            let _ = worker.kill.0.try_send(Reason::Full);
+        }
+        let (searches, id, limit) = (self.clone(), replica.clone(), self.limits.get().connect);
+        let given_up = async move {
+            Timer::after(limit).await;
+            searches.lacking.borrow_mut().retain(|lacking| *lacking != id);
+            let unmet =
+                searches.places.borrow_mut().get_mut(&id).filter(|place| place.workers.is_empty()).map(
+                    // What came later has waited for less, and for the same in vain.
+                    |place| std::mem::take(&mut place.queue),
+                );
+            unmet.unwrap_or_default().iter().for_each(|job| searches.end(job, Outcome::NotSent));
+        };
+        self.driver.executor().spawn(given_up).detach();
+    }
+
+    /// There may be room for those that lack it.
+    fn pump_lacking(self: &Rc<Self>) {
+        for replica in self.lacking.take() {
+            self.pump(&replica);
+        }
+    }
+
     /// The life of a connection, from before it is up to its line in the log.
     async fn keep(self: Rc<Self>, replica: ReplicaId, address: SocketAddr, worker: Rc<Worker>) {
         let kill = async { worker.kill.1.recv().await.unwrap_or(Reason::Retired) };
@@ -165,7 +203,7 @@
         match worker.stage.get() {
             Stage::Begun(no) => lost.push((no, Outcome::ConnectFailed)),
             Stage::Written(no) => lost.push((no, Outcome::Reset)),
-            Stage::Connecting | Stage::Idle => {}
+            Stage::Connecting | Stage::Idle | Stage::Leaving => {}
         }
         log::ended(
             "run_store",
@@ -179,6 +217,7 @@
             self.driver.probe_ended(no, false, None);
         }
         self.pump(&replica);
+        self.pump_lacking();
     }
 
     /// Keeps nothing of a run store that is retired and has no connection left: most never come back.
@@ -198,6 +237,9 @@
         loop {
             worker.stage.set(Stage::Idle);
             self.pump(replica);
+            if worker.stage.get() == Stage::Idle && !self.lacking.borrow().is_empty() {
+                return Reason::Full;
+            }
             let job = async { worker.jobs.1.recv().await.map_err(|_| Reason::Retired) };
             let closed = async {
                 client.idle().await;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -189,3 +189,76 @@
     assert!((aim - 40.0..aim).contains(&given(0.0)), "{}", given(0.0));
     assert!(given(10.0) + 20.0 < aim, "{}", given(10.0));
 }
+
+/// Clients that give up early, each at one of many routers, would have all of them send what nobody waits for.
+#[test]
+fn what_its_client_will_not_wait_for_is_refused_unsent() {
+    let mut router = start(settings(Repeat::Safe), &["a", "b"]);
+    // Ten queries tell that one takes 300 ms.
+    for number in 1..=10 {
+        let now = number as f64 * 1000.0;
+        let sent = sends(&router.step(now, query(number, 2, now + 3000.0)));
+        run(&mut router, now + 5.0, now + 295.0);
+        let ends = sent.iter().map(|(part, to)| ended(part, 0, to, Outcome::Completed, 300.0)).collect();
+        assert_eq!(finals(&router.step(now + 300.0, ends)), [format!("whole q{number}")]);
+    }
+    let short = router.step(11_000.0, query(11, 2, 11_100.0));
+    assert_eq!((finals(&short), sends(&short).len()), (vec!["refuse q11".to_string()], 0));
+    let long = router.step(11_005.0, query(12, 2, 12_005.0));
+    assert_eq!((finals(&long).len(), sends(&long).len()), (0, 2));
+}
+
+/// What such clients did not wait for must not look like a slow fleet to those who do.
+#[test]
+fn a_query_cut_short_by_its_client_tells_nothing_of_the_fleet() {
+    let mut router = start(settings(Repeat::Safe), &["a", "b"]);
+    let mut busy = |number: u64, wait: Millis| {
+        let now = number as f64 * 1000.0;
+        let actions = router.step(now, query(number, 2, now + wait));
+        let sent = sends(&actions);
+        // Parts of those that are cut short take longer than usual.
+        let took = if wait < 1000.0 { wait + 100.0 } else { 200.0 };
+        run(&mut router, now + 5.0, now + took - 5.0);
+        let load = LoadReport { utilization: Some(0.95), ..LoadReport::default() };
+        let ends = sent.iter().map(|(part, to)| match ended(part, 0, to, Outcome::Completed, took) {
+            Event::AttemptEnded(end) => Event::AttemptEnded(AttemptEnded { load: Some(load), ..end }),
+            other => other,
+        });
+        router.step(now + took, ends.collect());
+        sent.len()
+    };
+    for number in 1..=5 {
+        assert_eq!(busy(number, 3000.0), 2);
+    }
+    for number in 6..=13 {
+        assert_eq!(busy(number, 250.0), 2);
+    }
+    assert_eq!(busy(14, 3000.0), 2, "not refused as predicted late");
+}
+
+/// The one replica that is left has just turned a part away: to ask it again at once spends the attempts in vain.
+#[test]
+fn a_part_turned_away_by_the_last_replica_left_waits_before_it_asks_there_again() {
+    let mut router = start(settings(Repeat::Safe), &["a", "b", "c"]);
+    let sent = sends(&router.step(10.0, query(1, 1, 5000.0)));
+    let first = sent[0].1.clone();
+    // The two others fall silent, as their connections do not come up.
+    let mut number = 2;
+    let mut parked = std::collections::BTreeSet::new();
+    let mut now = 20.0;
+    while parked.len() < 2 {
+        for (part, to) in sends(&router.step(now, query(number, 1, now + 5000.0))) {
+            let end = if to == first { Outcome::Completed } else { Outcome::ConnectFailed };
+            if to != first {
+                parked.insert(to.clone());
+            }
+            router.step(now + 1.0, vec![ended(&part, 0, &to, end, 1.0)]);
+        }
+        number += 1;
+        now += 5.0;
+    }
+    let again = sends(&router.step(now, vec![ended("q1.0", 0, &first, Outcome::Rejected, 3.0)]));
+    assert!(again.iter().all(|(part, _)| part != "q1.0"), "{again:?}");
+    let later = sends(&run(&mut router, now + 5.0, 1000.0));
+    assert!(later.contains(&("q1.0".to_string(), first)), "{later:?}");
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -511,6 +511,28 @@
     }
 }
 
+/// Each run store holds one shard: a query of all of them needs them all, and has a connection for each but some.
+#[test]
+fn more_run_stores_than_connections_serve_a_query_of_them_all() {
+    for wire in WIRES {
+        let aggregator = Aggregator::changed(wire, 40, |config, _| {
+            config["limits"]["sockets"] = json!(128);
+            config["settings"]["domain"]["width"] = json!(1);
+            config["settings"]["domain"]["shards"] = json!(40);
+            // Nothing is late by this test's own load.
+            config["settings"]["caps"]["connect_timeout_ms"] = json!(5000.0);
+        });
+        let all: Vec<u32> = (0..40).collect();
+        for round in 0..2 {
+            let answer = aggregator.ask("run-lookup", &all, 8000);
+            assert!(answer.whole(), "{wire:?} {round}: {answer:?}");
+        }
+        let sent = aggregator.board.read(|state| state.parts.len());
+        assert_eq!(sent, 80, "{wire:?}: each part went once");
+        aggregator.logged("code=full");
+    }
+}
+
 #[test]
 fn a_client_that_sends_nothing_or_half_a_request_is_answered_or_closed_in_time() {
     for wire in WIRES {
