--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -62,7 +62,7 @@
     let mut out: Vec<(f64, Call)> = Vec::new();
     for step in 0..4000 {
         now += 5.0 + random.f64() * if random.f64() < 0.01 { 200.0 } else { 0.5 };
-        if random.f64() < 0.35 {
+        if random.f64() < 0.45 {
             let (class, parts) = if random.bool() { ("search", random.u32(1..6)) } else { ("entry", 1) };
             let mut ask = fixture::ask(&format!("c{asked}"), class, parts, 800.0 + random.f64() * 3000.0);
             ask.tenant = ["vaal", "vaal-muon", "unknown"].get(random.usize(..4)).map(ToString::to_string);
