Leave out light parts only where run stores have reported that they are busy

So a router that has just started, or one whose run stores report nothing, as on the OpenSearch-style wire, left out light parts from its first query on.

`busy` tells no report from busy, and without a late prediction only a report leads to trimming.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -564,13 +564,13 @@
             // What its client will not wait for is work for nobody, however idle the fleet.
             let spread = self.m.spread[class].at(self.now, self.in_turn(self.forgive));
             let vain = spread * self.m.usual.unwrap_or(0.0) > query.deadline - self.now;
-            if !vain && !self.busy() {
+            if !vain && self.busy() == Some(false) {
                 continue;
             }
             if vain || predicted > ADMIT_AT * factor.clamp(ADMIT_RANGE.0, ADMIT_RANGE.1) {
                 let within = query.worth >= self.s.classes[class].worth;
                 self.end_query(number, false, if within { Cause::PredictedLate } else { Cause::BeyondShare });
-            } else {
+            } else if predicted > PRESSED_AT || self.busy().is_some() {
                 self.trim(number, predicted > PRESSED_AT);
             }
         }
@@ -621,19 +621,19 @@
         self.spread(class) * self.m.usual.unwrap_or(0.0) / self.s.classes[class].aim
     }
 
-    /// Whether the fleet has little room, by what replicas reported lately; without reports it may have.
-    fn busy(&self) -> bool {
+    /// Whether the fleet has little room, by what replicas reported lately; `None` if none did: it may have.
+    fn busy(&self) -> Option<bool> {
         let since = self.now - self.forgive;
         let told = |s: &Server| s.load.utilization.filter(|_| s.loaded > since);
         let told: Vec<f64> = self.servers.values().filter_map(told).collect();
-        told.is_empty() || told.iter().sum::<f64>() >= BUSY_AT * told.len() as f64
+        (!told.is_empty()).then(|| told.iter().sum::<f64>() >= BUSY_AT * told.len() as f64)
     }
 
     /// Until when work for a query is worth doing. Under pressure late work only makes more work late, so
     /// what earns little after the aim ends there; unsafe parts run on, since nothing can replace them.
     fn useful_until(&self, query: &Query) -> Millis {
         let class = &self.s.classes[query.class];
-        let pressed = self.busy() && self.pace(query.class) > PRESSED_AT;
+        let pressed = self.busy() != Some(false) && self.pace(query.class) > PRESSED_AT;
         if pressed && class.repeat != Repeat::Unsafe && class.late_worth < LATE_WORTH {
             query.deadline.min(query.accepted + class.aim)
         } else {
@@ -890,7 +890,7 @@
         let class = query.class;
         let since = self.now - self.patience(class);
         // Repeats are load: none when all are slow, as then they only make it worse.
-        let slow = self.busy() && self.pace(class) > PRESSED_AT;
+        let slow = self.busy() != Some(false) && self.pace(class) > PRESSED_AT;
         let none = slow || self.now + self.m.usual.unwrap_or(0.0) > query.deadline;
         let safe = self.s.classes[class].repeat != Repeat::Unsafe;
         for (id, (attempt, server), sent, attempts) in query.out_since(since) {
