Let one of many routers that was told nothing leave out light parts as well

`busy` takes reports of the last four aims; a router of 300 has a query a second, and one that has just started none: it has no report where it has to decide.

A router is one of many where `in_turn` already says so, from `balancers` and the best rate seen: taking its turn at guesses takes longer than a record is remembered. For it, no report is a sign as well as a high one. Others need a report or a late prediction. No new constant.

All tests of the workspace pass.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,10 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
-use crate::asking::Asking;
-use crate::faded::Faded;
 use crate::hash::{draw, hash, mix};
-use crate::lag::Lag;
+use crate::{asking::Asking, faded::Faded, lag::Lag};
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
@@ -563,6 +561,8 @@
             let predicted = self.pace(class) * growth;
             // What its client will not wait for is work for nobody, however idle the fleet.
             let spread = self.m.spread[class].at(self.now, self.in_turn(self.forgive));
+            // One of many routers has few reports, and soon none: for it no report is a sign as well.
+            let many = self.in_turn(self.forgive) > self.forgive;
             let vain = spread * self.m.usual.unwrap_or(0.0) > query.deadline - self.now;
             if !vain && self.busy() == Some(false) {
                 continue;
@@ -570,7 +570,7 @@
             if vain || predicted > ADMIT_AT * factor.clamp(ADMIT_RANGE.0, ADMIT_RANGE.1) {
                 let within = query.worth >= self.s.classes[class].worth;
                 self.end_query(number, false, if within { Cause::PredictedLate } else { Cause::BeyondShare });
-            } else if predicted > PRESSED_AT || self.busy().is_some() {
+            } else if predicted > PRESSED_AT || many || self.busy().is_some() {
                 self.trim(number, predicted > PRESSED_AT);
             }
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -267,14 +267,14 @@
 /// the parts that weigh least then leave room for queries that need all of theirs.
 #[test]
 fn a_busy_fleet_is_spared_the_lightest_parts_of_what_may_be_partial() {
-    let sent = |utilization: f64| {
+    let sent = |routers: u32, utilization: Option<f64>| {
         let mut s = settings(Repeat::Safe);
-        (s.routers, s.classes[0].least_share) = (300, 0.4);
+        (s.routers, s.classes[0].least_share) = (routers, 0.4);
         let mut router = start(s, &["a", "b"]);
         let first = sends(&router.step(10.0, query(1, 2, 3000.0)));
-        let load = LoadReport { utilization: Some(utilization), ..LoadReport::default() };
+        let load = utilization.map(|told| LoadReport { utilization: Some(told), ..LoadReport::default() });
         let told = |(part, to): &(String, String)| match ended(part, 0, to, Outcome::Completed, 10.0) {
-            Event::AttemptEnded(end) => Event::AttemptEnded(AttemptEnded { load: Some(load), ..end }),
+            Event::AttemptEnded(end) => Event::AttemptEnded(AttemptEnded { load, ..end }),
             other => other,
         };
         router.step(20.0, first.iter().map(told).collect());
@@ -287,6 +287,8 @@
         parts.zip(weights).for_each(|(part, weight)| part.weight = weight);
         sends(&router.step(25.0, skewed)).len()
     };
-    assert_eq!(sent(0.5), 10);
-    assert_eq!(sent(0.9), 3, "those that weigh more than a tenth");
+    assert_eq!(sent(300, Some(0.5)), 10);
+    assert_eq!(sent(300, Some(0.9)), 3, "those that weigh more than a tenth");
+    assert_eq!(sent(300, None), 3, "one of many that was told nothing");
+    assert_eq!(sent(1, None), 10, "a lone one, which would know");
 }
