Look for room again on the OpenSearch-style wire when there may be more connections

Frames::room puts what waits when a handover leaves more connections; Searches::room did not, so there it waited for a connection to end. It calls pump_lacking.

--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -416,6 +416,7 @@
 
     fn room(&self, connections: usize) {
         self.limits.set(Limits { connections, ..self.limits.get() });
+        self.pump_lacking();
     }
 
     fn retune(&self, info: &Info) {
