Pass idempotency keys on to run stores, and watch lists that are pushed

Changed, for both wires: queries of keyed classes need one sound key (400 otherwise; no comma or blank, which would end the list) and every attempt carries it; elsewhere keys are passed over. asking::Agent, beside the module, begins the watch at once and again 100 ms after each break, as a watch goes on if its next call comes within 200 ms.

Whether that wait has a cause here is still to be looked at. The new tests (tests/sockets/keys.rs, the drain test with pushed lists, asking) fail without the change.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -51,11 +51,63 @@
     }
 }
 
+/// How soon a watch on pushed lists is begun again after it broke: a watch goes on as long as its next call comes
+/// within 200 ms of the last answer, and half of that is left for the call's own way.
+const AGAIN: Millis = 100.0;
+
+/// The watch on an agent of one's own, to which lists are pushed. What the agent holds counts as told, so that it is
+/// watched at all times; asking costs nobody else anything.
+#[derive(Debug, Clone)]
+pub struct Agent {
+    watch: Watch,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Watch {
+    Broken,
+    /// It is to begin.
+    Due(Millis),
+    On,
+}
+
+impl Default for Agent {
+    fn default() -> Self {
+        Agent { watch: Watch::Due(0.0) }
+    }
+}
+
+impl Agent {
+    /// The watch has broken.
+    pub fn broken(&mut self) {
+        self.watch = Watch::Broken;
+    }
+
+    /// When to begin the watch, if it is not on.
+    pub fn due(&self) -> Option<Millis> {
+        match self.watch {
+            Watch::Due(at) => Some(at),
+            Watch::Broken | Watch::On => None,
+        }
+    }
+
+    /// Whether to begin it now. It is on from then until it is told to have broken.
+    pub fn begins(&mut self, now: Millis) -> bool {
+        if let Watch::Broken = self.watch {
+            self.watch = Watch::Due(now + AGAIN);
+        }
+        let begins = self.due().is_some_and(|at| now >= at);
+        if begins {
+            self.watch = Watch::On;
+        }
+        begins
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use std::collections::VecDeque;
 
-    use super::Asking;
+    use super::{Agent, Asking};
     use crate::hash::draw;
 
     /// A service that answers in turn, each call in so many milliseconds, and fails what has waited for 2 s: calls
@@ -105,4 +157,17 @@
         assert_eq!(wait(4), 200.0);
         assert_eq!(wait(100), 5000.0);
     }
+
+    #[test]
+    fn an_agent_is_watched_at_once_and_again_soon_after_each_break() {
+        let mut agent = Agent::default();
+        assert_eq!(agent.due(), Some(0.0));
+        assert!(agent.begins(5.0) && !agent.begins(6.0));
+        assert_eq!(agent.due(), None);
+        agent.broken();
+        assert!(!agent.begins(1000.0));
+        // The watch goes on if its next call comes within 200 ms.
+        let again = agent.due().unwrap();
+        assert!(again < 1200.0 && !agent.begins(again - 1.0) && agent.begins(again));
+    }
 }
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -52,9 +52,8 @@
             parts.push(part_id);
         }
         self.ledger.numbers.insert(id, no);
-        let (client_id, taken) = (ask.id, now);
-        let query =
-            Query { client_id, class, group, taken, deadline, partial: ask.partial, text: ask.text, parts };
+        let Ask { id: client_id, partial, key, text, .. } = ask;
+        let query = Query { client_id, class, group, taken: now, deadline, partial, key, text, parts };
         self.ledger.queries.insert(no, query);
     }
 }
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -262,6 +262,11 @@
         self.core.borrow().longest_deadline()
     }
 
+    /// Whether queries of a class carry a key.
+    pub fn is_keyed(&self, class: &str) -> bool {
+        self.core.borrow().is_keyed(class)
+    }
+
     /// How many shards there are, if that is known.
     pub fn shards(&self) -> Option<u32> {
         self.core.borrow().shards()
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -22,6 +22,8 @@
     pub deadline: Millis,
     /// Whether an answer that is not whole is welcome.
     pub partial: bool,
+    /// Its key, in a keyed class.
+    pub key: Option<Arc<str>>,
     /// What each part carries.
     pub text: Rc<[u8]>,
     /// Its parts, by the router's ids.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,7 +25,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use crate::api::{Cause, Event, Millis, Outcome, ReplicaId, ReplicaState, Settings};
+use crate::api::{Cause, Discovery, Event, Millis, Outcome, Repeat, ReplicaId, ReplicaState, Settings};
+use crate::asking::Agent;
 use crate::counters::{Counters, Gauges};
 use crate::settings::Info;
 use crate::trace::tape::{InForce, Tape};
@@ -49,6 +50,8 @@
     pub retried: bool,
     /// Whether an answer that is not whole is welcome.
     pub partial: bool,
+    /// The key by which run stores know its repeats, in a keyed class; see [`Core::is_keyed`].
+    pub key: Option<Arc<str>>,
     /// Its parts.
     pub parts: Vec<AskPart>,
     /// What each part has to carry to its run store.
@@ -147,6 +150,8 @@
     pub class: Arc<str>,
     /// The number of its query, and its own among the part's attempts.
     pub of: (QueryNo, u32),
+    /// The query's key, in a keyed class.
+    pub key: Option<Arc<str>>,
     /// The shard.
     pub shard: u32,
     /// The time at which the core stops waiting.
@@ -260,6 +265,7 @@
     probe_timeout: Millis,
     ledger: Ledger,
     hand: Hand,
+    agent: Agent,
     /// Events that wait for the next step.
     inbox: Vec<Event>,
     orders: VecDeque<Order>,
@@ -288,6 +294,7 @@
             probe_timeout: 0.0,
             ledger: Ledger::default(),
             hand: Hand::default(),
+            agent: Agent::default(),
             inbox: Vec::new(),
             orders: VecDeque::new(),
             wake: None,
@@ -326,6 +333,12 @@
         self.classes.longest_deadline()
     }
 
+    /// Whether queries of a class carry a key, without which no part of theirs may reach a run store.
+    pub fn is_keyed(&self, class: &str) -> bool {
+        let at = self.classes.named(class);
+        at.is_some_and(|at| matches!(self.classes.at(at).class.repeat, Repeat::Keyed { .. }))
+    }
+
     /// How many shards there are, if that is known.
     pub fn shards(&self) -> Option<u32> {
         self.shards
@@ -346,9 +359,15 @@
         !self.inbox.is_empty()
     }
 
-    /// When the router asked to be woken.
+    /// When the next step is due, if nothing happens before.
     pub fn wake_at(&self) -> Option<Millis> {
-        self.wake
+        let agent = self.agent.due().filter(|_| self.is_pushed());
+        self.wake.into_iter().chain(agent).reduce(f64::min)
+    }
+
+    /// Whether lists come to an agent of this aggregator's own. The router never asks for such.
+    fn is_pushed(&self) -> bool {
+        self.settings.discovery == Discovery::Pushed
     }
 
     /// The number of run stores of which anything is kept.
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -22,6 +22,9 @@
         for action in actions {
             self.act(now, action);
         }
+        if self.is_pushed() && self.agent.begins(now) {
+            self.orders.push_back(Order::Watch);
+        }
     }
 
     fn act(&mut self, now: Millis, action: Action) {
@@ -67,7 +70,10 @@
         let (listed, whole) = match &news {
             News::Cached(lines) | News::Full(lines) => (lines.as_slice(), true),
             News::Changes(lines) => (lines.as_slice(), false),
-            News::Broken => (&[][..], false),
+            News::Broken => {
+                self.agent.broken();
+                (&[][..], false)
+            }
         };
         if whole {
             let named = |id| listed.iter().any(|line| line.replica.id == id);
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -30,6 +30,7 @@
             query: query.client_id.clone(),
             class: self.classes.at(query.class).name.clone(),
             of: (of, attempt.0),
+            key: query.key.clone(),
             shard,
             until,
             text: query.text.clone(),
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -17,6 +17,9 @@
     pub fn take_in(&mut self, now: Millis, ask: Ask) -> Result<QueryNo, NotTaken> {
         let class = self.classes.named(&ask.class).ok_or(NotTaken::UnknownClass)?;
         check(&ask).map_err(NotTaken::Malformed)?;
+        if ask.key.is_none() && self.is_keyed(&ask.class) {
+            return Err(NotTaken::Malformed("a query of this class needs a key".into()));
+        }
         // A part of a shard that does not exist would reach run stores that do not hold it.
         if let Some(part) = ask.parts.iter().find(|part| self.shards.is_some_and(|most| part.shard >= most)) {
             return Err(NotTaken::Malformed(format!("there is no shard {}", part.shard)));
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -62,6 +62,9 @@
                 return Err(Refusal(400, "illegal_argument_exception", why));
             }
         }
+        let keyed = self.driver.is_keyed(&search.index);
+        let key = keyed.then(|| super::key(&request.headers)).transpose();
+        let key = key.map_err(|why| Refusal(400, "illegal_argument_exception", why))?.map(Into::into);
         Ok(Ask {
             id: request
                 .headers
@@ -72,6 +75,7 @@
             timeout: search.timeout,
             retried: false,
             partial: search.partial,
+            key,
             parts: shards.into_iter().map(|shard| AskPart { shard, weight, hint: None, key: None }).collect(),
             text: carry(&search.for_shards(), &request.body).into(),
         })
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -76,7 +76,8 @@
 
     fn query(&self, request: &Message, path: &str) -> Result<(Held, Pending), Response> {
         let class = class_of(path);
-        let ask = read(request, class).map_err(|why| self.refuse(class, 400, &why))?;
+        let ask =
+            read(request, class, self.driver.is_keyed(class)).map_err(|why| self.refuse(class, 400, &why))?;
         if !self.held.borrow_mut().insert(ask.id.clone()) {
             return Err(self.refuse(class, 409, "a query of this X-Request-ID is being answered"));
         }
@@ -131,7 +132,7 @@
     path.trim_start_matches('/').split('/').next().unwrap_or("")
 }
 
-fn read(request: &Message, in_path: &str) -> Result<Ask, String> {
+fn read(request: &Message, in_path: &str, keyed: bool) -> Result<Ask, String> {
     let header = |name: &str| request.headers.get(name);
     let class = header("x-priority-class").unwrap_or(in_path);
     if class != in_path {
@@ -165,6 +166,7 @@
         timeout,
         retried: header("x-retried") == Some("1"),
         partial: true,
+        key: keyed.then(|| super::key(&request.headers)).transpose()?.map(Into::into),
         parts: body.slices.into_iter().map(part).collect(),
         text: body.filter.into_bytes().into(),
     })
--- a/src/http/parse.rs
+++ b/src/http/parse.rs
@@ -73,10 +73,14 @@
         self.0.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
     }
 
+    /// All values under a name, which is given in lower case.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.0.iter().filter(move |(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+
     /// Whether a list under a name holds a token.
     pub fn has_token(&self, name: &str, token: &str) -> bool {
-        let values = self.0.iter().filter(|(known, _)| known == name);
-        values.flat_map(|(_, value)| value.split(',')).any(|word| word.trim().eq_ignore_ascii_case(token))
+        self.all(name).flat_map(|value| value.split(',')).any(|word| word.trim().eq_ignore_ascii_case(token))
     }
 }
 
--- a/src/transport/frames/codec.rs
+++ b/src/transport/frames/codec.rs
@@ -52,6 +52,8 @@
     pub shard: u32,
     /// How many milliseconds its answer is waited for.
     pub wait: u64,
+    /// The query's key, in a keyed class. It holds no comma, blank or line end, which would end it.
+    pub key: Option<&'a str>,
     /// The query's text.
     pub text: &'a [u8],
 }
@@ -59,8 +61,9 @@
 /// A call of some parts.
 pub fn call<'a>(parts: impl Iterator<Item = Part<'a>>) -> Vec<u8> {
     let mut rest = Vec::new();
-    for Part { id, shard, wait, text } in parts {
-        rest.extend_from_slice(format!("{id} {shard} d={wait} {}\n", text.len()).as_bytes());
+    for Part { id, shard, wait, key, text } in parts {
+        let key = key.map(|key| format!(",k={key}")).unwrap_or_default();
+        rest.extend_from_slice(format!("{id} {shard} d={wait}{key} {}\n", text.len()).as_bytes());
         rest.extend_from_slice(text);
     }
     frame(b'1', &rest)
--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -204,6 +204,7 @@
                     id: &call.part,
                     shard: call.shard,
                     wait: wait(call),
+                    key: call.key.as_deref(),
                     text: &call.text,
                 })))
             }
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -305,7 +305,9 @@
                      &allow_partial_search_results=false",
                     call.class, call.shard
                 );
-                let headers = [("Content-Type", "application/json"), ("X-Opaque-Id", call.query.as_str())];
+                let mut headers =
+                    vec![("Content-Type", "application/json"), ("X-Opaque-Id", call.query.as_str())];
+                headers.extend(call.key.as_deref().map(|key| ("Idempotency-Key", key)));
                 write::request("POST", &target, &host, &headers, &call.text[cut + 1..])
             }
         };
--- a/tests/common/core.rs
+++ b/tests/common/core.rs
@@ -14,6 +14,7 @@
         timeout: Some(timeout),
         retried: false,
         partial: true,
+        key: None,
         parts: (0..parts).map(part).collect(),
         text: b"text"[..].into(),
     }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -43,6 +43,7 @@
         query: format!("q{no}"),
         class: "c".into(),
         of: (ironpaddle::core::QueryNo(no), 0),
+        key: None,
         shard: 0,
         until: 0.0,
         text: Rc::from(&b"text"[..]),
--- a/tests/sockets/aggregator.rs
+++ b/tests/sockets/aggregator.rs
@@ -211,6 +211,11 @@
 
     /// Writes a query of some shards and leaves its answer unread.
     pub fn begin(&self, class: &str, shards: &[u32], timeout_ms: u32) -> TcpStream {
+        self.begin_with("", class, shards, timeout_ms)
+    }
+
+    /// The same with further header lines, each with its end.
+    pub fn begin_with(&self, lines: &str, class: &str, shards: &[u32], timeout_ms: u32) -> TcpStream {
         static ASKED: AtomicUsize = AtomicUsize::new(0);
         let id = ASKED.fetch_add(1, Ordering::Relaxed);
         let (target, body) = match self.wire {
@@ -230,7 +235,7 @@
         let mut stream = self.connect();
         let head = format!(
             "POST {target} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: r{id}\r\nX-Priority-Class: {class}\r\n\
-             X-Timeout: {timeout_ms}m\r\nContent-Length: {}\r\n\r\n{body}",
+             X-Timeout: {timeout_ms}m\r\n{lines}Content-Length: {}\r\n\r\n{body}",
             body.len()
         );
         stream.write_all(head.as_bytes()).unwrap();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod aggregator;
 mod calls;
+mod keys;
 mod operator;
 mod settings;
 mod stand_in;
@@ -137,8 +138,10 @@
 
 #[test]
 fn nothing_is_sent_to_a_run_store_that_is_told_to_drain() {
-    for wire in WIRES {
-        let aggregator = Aggregator::start(wire, 2);
+    for (wire, mode) in WIRES.into_iter().flat_map(|wire| [(wire, "subscribe"), (wire, "automatic")]) {
+        let aggregator = Aggregator::changed(wire, 2, |config, _| {
+            config["settings"]["discovery"] = json!(mode);
+        });
         let drained = aggregator.stores[0];
         aggregator.board.tell(json!([line(0, drained, "draining", 0)]));
         for shard in 0..4 {
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -55,6 +55,8 @@
     pub acts: BTreeMap<usize, Act>,
     /// Run store and shard of each part that arrived whole, in order.
     pub parts: Vec<(usize, u32)>,
+    /// The key of each of these, where it carried one.
+    pub keys: Vec<Option<String>>,
     /// Run stores at which a part was given up.
     pub given_up: Vec<usize>,
     /// Connections that each run store has accepted.
@@ -118,10 +120,11 @@
         self.wait("the change to be told", |state| state.told >= version);
     }
 
-    fn arrived(&self, store: usize, shard: u32) -> Act {
+    fn arrived(&self, store: usize, shard: u32, key: Option<&str>) -> Act {
         let mut act = Act::Serve;
         self.change(|state| {
             state.parts.push((store, shard));
+            state.keys.push(key.map(str::to_string));
             act = match state.acts.get(&store).copied().unwrap_or(Act::Serve) {
                 Act::Half if shard % 2 == 1 => Act::Silent,
                 Act::Half => Act::Serve,
@@ -177,11 +180,13 @@
                 let text = String::from_utf8(frame[1..].to_vec()).unwrap();
                 let (line, query) = text.split_once('\n').unwrap();
                 let words: Vec<&str> = line.split(' ').collect();
-                let [id, shard, wait, size] = words[..] else { panic!("a call's line: {line:?}") };
+                let [id, shard, list, size] = words[..] else { panic!("a call's line: {line:?}") };
+                let (wait, key) = list.split_once(',').map_or((list, None), |(wait, key)| (wait, Some(key)));
                 assert!(wait.strip_prefix("d=").unwrap().parse::<u64>().unwrap() > 0);
+                let key = key.map(|key| key.strip_prefix("k=").unwrap());
                 assert_eq!(size.parse::<usize>().unwrap(), query.len());
                 assert_eq!(id.rsplit_once('.').unwrap().1, shard);
-                match board.arrived(store, shard.parse().unwrap()) {
+                match board.arrived(store, shard.parse().unwrap(), key) {
                     Act::Serve => answer(b'5', format!("{id} S 7 util=0.50,qps=3\nv{shard}").as_bytes())?,
                     Act::Pieces => {
                         let rest = format!("5{id} S 7 -\nv{shard}");
@@ -239,14 +244,15 @@
 
 fn searches(board: &Board, store: usize, mut stream: TcpStream) -> io::Result<()> {
     loop {
-        let (first, _, _) = read_http(&mut stream)?;
+        let (first, head, _) = read_http(&mut stream)?;
         if first.starts_with("GET / ") {
             respond(&mut stream, "200 OK", "{}")?;
             continue;
         }
         assert!(first.contains("/_search?"), "{first}");
         let shard: u32 = first.split("_shards:").nth(1).unwrap().split('&').next().unwrap().parse().unwrap();
-        match board.arrived(store, shard) {
+        let key = head.lines().find_map(|line| line.strip_prefix("idempotency-key: "));
+        match board.arrived(store, shard, key) {
             act @ (Act::Serve | Act::Pieces) => {
                 let body = json!({"took": 1, "timed_out": false,
                     "_shards": {"total": 1, "successful": 1, "skipped": 0, "failed": 0},
