Pace cold run stores by what they report and by each aggregator's share of the traffic

With each attempt logged: from 12.5 s to 15 s 104 warm run stores at a reported utilization of 0.93 turn away 4,582 of 18,900 parts, and 53 cold ones, 4 s to 6 s old, stand at 0.37 and turn away none. Lookups of 58 parts end as 'Failed Some(AttemptsSpent(Shard(349)))': 'Rejected' three times.

Checked: of 153,210 looks for a run store in two seconds 1.07 cold holders each, 0.01 with room; where there was room, two in three parts with a choice went there. So room is what lacks. cold_room (decide.rs) reckoned with the slowest warming that the settings allow (0.3 at first, 16 s), while reports (throughput over utilization) tell 58 of 91 parts a second after 2 s to 4 s and all after 10 s; and with even shares of 300, where the busy routers wait for room and the others save up one part at most.

Changed: src/cold.rs, beside the module, reckons a cold replica's room from the capacity that warm ones report, the pace at which cold ones report to get warm (a lower bound by the count of parts; never slower than the settings), and the router's own share of the fleet's traffic. Half of the multiple that makes one fall is aimed at, and no more than its capacity. Without reported throughput nothing changes.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,7 +9,7 @@
 
 use crate::api::*;
 use crate::hash::{draw, hash, mix};
-use crate::{asking::Asking, faded::Faded, lag::Lag};
+use crate::{asking::Asking, cold, faded::Faded, lag::Lag};
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
@@ -207,6 +207,8 @@
     /// Share of sends on idle connections that were lost, and the idleness to allow.
     drops: Faded,
     idle_limit: Millis,
+    #[serde(default)]
+    traffic: cold::Traffic,
     further: f64,
     /// What was taken (queries and parts) and sent again (true) within the stated budget's window.
     budget: Vec<(Millis, bool)>,
@@ -414,6 +416,7 @@
         if let (true, Some(idle)) = (dropped || outcome == Outcome::Completed, flight.idle) {
             self.note_idle(idle, dropped);
         }
+        self.m.traffic.worked(!outcome.never_ran());
         let known = self.servers.get(&flight.server).map_or(0.0, |server| self.rate(server, flight.class));
         let Some(server) = self.servers.get_mut(&flight.server) else { return };
         server.used = server.used.map(|_| now);
@@ -523,20 +526,11 @@
         lone.max(f64::from(self.s.routers) / (rate * GUESS_SHARE))
     }
 
-    /// Room at a cold replica, and the most there can be; `None` if it is warm. An own share of what it bears
-    /// comes in evenly, from a start drawn by chance: few of many routers send at once, and none waits long.
+    /// Room at a cold replica, and the most there can be; `None` if it is warm.
     fn cold_room(&self, server: &Server, class: usize) -> Option<(f64, f64)> {
         let (cold, started) = (self.s.cold?, server.line.started?);
-        let age = (self.now - started) / cold.warm_within.max(1.0);
-        if age >= 1.0 {
-            return None;
-        }
-        let warmth = cold.from + (1.0 - cold.from) * age.max(0.0);
-        // The best one-part rate holds call overhead and one core only: room for chance and for others.
-        let capacity = self.m.best.unwrap_or(self.mean_rate(class)) * warmth;
-        let share = cold.multiple * capacity / f64::from(self.s.routers);
-        let most = (share * cold.window).max(1.0);
-        Some(((server.cold.0 + share * (self.now - server.cold.1)).min(most), most))
+        let best = self.m.best.unwrap_or(self.mean_rate(class));
+        cold::room(&cold, (started, self.now), server.cold, best, (&self.m.traffic, self.s.routers))
     }
 
     /// How long a replica may be silent before a hang is the likely cause.
@@ -550,6 +544,7 @@
             let Some(query) = self.queries.get(&number) else { continue };
             let class = query.class;
             let cost: f64 = query.parts.iter().map(|p| p.cost).sum();
+            self.m.traffic.asked(query.parts.len(), SMOOTH_QUERIES);
             let per = if self.s.worth_by_work { 1.0 } else { query.parts.len().max(1) as f64 };
             let density = query.worth / per;
             let usual = blend(self.m.density, density);
@@ -672,6 +667,11 @@
         let listed = |s: &&Server| s.line.state != ReplicaState::Gone;
         let heard: Vec<f64> = self.servers.values().filter(listed).filter_map(|s| s.dr).collect();
         self.m.mean = (!heard.is_empty()).then(|| heard.iter().sum::<f64>() / heard.len() as f64);
+        if let Some(rule) = self.s.cold {
+            let way = |s: &Server| s.line.started.map(|at| (s.loaded - at) / rule.warm_within);
+            let told = self.servers.values().filter(listed).map(|s| (s.load, way(s)));
+            self.m.traffic.told(self.now, &rule, told);
+        }
         let since = self.now - self.forgive;
         let before = self.now - self.m.usual.unwrap_or(0.0) * DEAD_AFTER_USUAL;
         let dead = |s: &&Server| s.died.is_some_and(|at| since < at && at <= before && s.heard < at);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod api;
 pub mod asking;
 pub mod cli;
+pub mod cold;
 pub mod config;
 pub mod core;
 pub mod counters;
