Bound what a run store is sent by how fast it is seen to work it off

Changed: src/pace.rs, beside the module, learns how fast a replica works off what this router has out there (Little's law; parts called back can only lower it). What is more than that does within ADMIT_AT of the aim makes it laden: other holders come first, and parts that only laden ones could take are left out, or their query is refused unsent. No sample, no bound.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -39,9 +39,10 @@
     pub fn told(
         &mut self,
         now: Millis,
-        rule: &ColdRule,
+        rule: Option<ColdRule>,
         reports: impl Iterator<Item = (LoadReport, Option<f64>)>,
     ) {
+        let Some(rule) = rule else { return };
         if self.rate > 0.0 {
             let span = rule.warm_within.max(1.0);
             let keep = (-(now - self.at) / span).exp();
@@ -167,7 +168,7 @@
             for (router, (known, left)) in (0..).zip(&mut routers) {
                 if now % 100 == 0 {
                     let warm = if reports { report(50.0, 0.5) } else { LoadReport::default() };
-                    known.told(f64::from(now), &RULE, (0..100).map(|_| (warm, None)));
+                    known.told(f64::from(now), Some(RULE), (0..100).map(|_| (warm, None)));
                 }
                 // All warm replicas together do five parts a millisecond.
                 if draw(&mut chance) < 5.0 * traffic(router) {
@@ -207,7 +208,7 @@
         let warm = (0..50).map(|_| (report(capacity * 0.8, 0.8), None));
         let cold = (0..replicas).map(|_| (report(capacity * 0.3, 0.3), Some(0.5)));
         let mut known = Traffic::default();
-        known.told(0.0, &RULE, warm.chain(cold));
+        known.told(0.0, Some(RULE), warm.chain(cold));
         known.pace
     }
 
@@ -225,12 +226,12 @@
         known.asked(20, 0.2);
         assert_eq!(known.share(100.0), 0.01);
         for now in 0..20 {
-            known.told(f64::from(now) * 1000.0, &RULE, [(report(50.0, 0.5), None)].into_iter());
+            known.told(f64::from(now) * 1000.0, Some(RULE), [(report(50.0, 0.5), None)].into_iter());
             (0..50).for_each(|_| known.worked(true));
         }
         assert!(known.share(2.0) > 0.9, "{known:?}");
         // Reports that come to an end leave nothing to reckon with.
-        known.told(30_000.0, &RULE, [(LoadReport::default(), None)].into_iter());
+        known.told(30_000.0, Some(RULE), [(LoadReport::default(), None)].into_iter());
         let before = known.share(2.0);
         known.worked(true);
         assert_eq!(known.share(2.0), before);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,6 @@
 //! Every decision of the router. Its interface (settings, events, actions) is `src/api.rs`.
 //!
-//! The ordinary path is C2LD's (docs/DESIGN.md): the last-sample rate DR, least finish, DR * S*, parking
-//! on time-out. What stands beside it says which trouble it guards against.
+//! The ordinary path is C2LD's (docs/DESIGN.md). What stands beside it says which trouble it guards against.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -9,7 +8,7 @@
 
 use crate::api::*;
 use crate::hash::{draw, hash, mix};
-use crate::{asking::Asking, cold, faded::Faded, lag::Lag};
+use crate::{asking::Asking, budget::Spent, cold, faded::Faded, idle::Idle, lag::Lag, pace::Pace};
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
@@ -62,10 +61,8 @@
 const LATE_WORTH: f64 = 0.5;
 /// Advice to a refused client, of the aim.
 const WAIT_OF_AIM: f64 = 0.25;
-/// Share of sends on idle connections lost from which these are closed, at that share of a fatal idleness.
-const DROPS: f64 = 0.1;
+/// Share of the usual latency within which what drops idle connections answers the next send.
 const DROP_OF_USUAL: f64 = 0.25;
-const IDLE_MARGIN: f64 = 0.5;
 /// Replicas that reset parts of a query, with none completed, from which the query is the likely cause.
 const POISON: usize = 3;
 /// Aims after a mass death in which each query risks one replica first: the next such query may come late.
@@ -92,6 +89,7 @@
     sent: Millis,
     cost: f64,
     load_then: f64,
+    ahead: f64,
     idle: Option<Millis>,
     cancelled: Option<Why>,
     /// Parts sent there after it that were answered before it.
@@ -135,6 +133,7 @@
 }
 
 #[derive(Default, Serialize, Deserialize)]
+#[serde(default)]
 struct Server {
     number: ServerNo,
     line: Replica,
@@ -152,6 +151,7 @@
     lost: Faded,
     parked: Option<Millis>,
     probe_at: Millis,
+    pace: Pace,
     /// Room for work while it is cold, and when that was reckoned.
     cold: (f64, Millis),
     call: (Millis, u32),
@@ -191,6 +191,7 @@
 }
 
 #[derive(Default, Serialize, Deserialize)]
+#[serde(default)]
 struct Measures {
     hint: Option<f64>,
     /// Usual latency of a part, and the work of this router that was out when such parts were sent.
@@ -204,14 +205,10 @@
     density: Option<f64>,
     /// By tenant: what is left of its own share, and when that was reckoned.
     quota: Vec<(f64, Millis)>,
-    /// Share of sends on idle connections that were lost, and the idleness to allow.
-    drops: Faded,
-    idle_limit: Millis,
-    #[serde(default)]
+    idle: Idle,
     traffic: cold::Traffic,
     further: f64,
-    /// What was taken (queries and parts) and sent again (true) within the stated budget's window.
-    budget: Vec<(Millis, bool)>,
+    budget: Spent,
 }
 
 fn blend(old: Option<f64>, new: f64) -> f64 {
@@ -287,8 +284,6 @@
         self.retune(self.s.clone()).is_ok()
     }
 
-    // ---- events
-
     fn take(&mut self, event: Event) {
         match event {
             Event::List(news) => self.take_list(news),
@@ -333,7 +328,7 @@
 
     fn take_query(&mut self, new: NewQuery) {
         let class = new.class.0.min(self.s.classes.len() - 1);
-        self.note_budget(false);
+        self.m.budget.note(self.s.budget, self.now, false);
         let mut worth = self.s.classes[class].worth;
         let tenant = new.tenant.map_or(usize::MAX, |TenantIndex(tenant)| tenant);
         if let Some((bucket, told)) = self.m.quota.get_mut(tenant).zip(self.s.tenants.get(tenant)) {
@@ -352,7 +347,7 @@
     }
 
     fn take_part(&mut self, new: NewPart) {
-        self.note_budget(false);
+        self.m.budget.note(self.s.budget, self.now, false);
         let Some(query) = self.queries.get_mut(&new.query) else { return };
         let hint = new.cost_hint.filter(|hint| *hint > 0.0);
         self.m.hint = hint.map(|hint| blend(self.m.hint, hint)).or(self.m.hint);
@@ -414,7 +409,8 @@
             self.flights.values_mut().filter(older).for_each(|f| f.overtaken += 1);
         }
         if let (true, Some(idle)) = (dropped || outcome == Outcome::Completed, flight.idle) {
-            self.note_idle(idle, dropped);
+            self.m.further += f64::from(u8::from(dropped));
+            self.m.idle.note(idle, dropped, now, forgive);
         }
         self.m.traffic.worked(!outcome.never_ran());
         let known = self.servers.get(&flight.server).map_or(0.0, |server| self.rate(server, flight.class));
@@ -429,6 +425,9 @@
         if lost || outcome == Outcome::Completed {
             server.lost.note(f64::from(u8::from(lost)), SMOOTH, now, forgive);
         }
+        if matches!(outcome, Outcome::Completed | Outcome::Cancelled) {
+            server.pace.note(flight.ahead, latency.max(self.s.tick), outcome == Outcome::Completed);
+        }
         match outcome {
             Outcome::Completed => {
                 server.dr = server.dr.filter(|_| self.lag.back == now).or(Some(dr));
@@ -465,20 +464,6 @@
         }
     }
 
-    fn drops(&self) -> f64 {
-        self.m.drops.at(self.now, self.forgive)
-    }
-
-    /// Learns whether connections idle for so long are dropped unseen, by something on the way.
-    fn note_idle(&mut self, idle: Millis, lost: bool) {
-        if lost {
-            let limit = if self.drops() < DROPS { idle } else { self.m.idle_limit };
-            self.m.idle_limit = limit.min(idle * IDLE_MARGIN);
-            self.m.further += 1.0;
-        }
-        self.m.drops.note(f64::from(u8::from(lost)), SMOOTH, self.now, self.forgive);
-    }
-
     fn take_probe(&mut self, replica: &ReplicaId, ok: bool, load: Option<LoadReport>) {
         let Some(server) = self.servers.get_mut(&hash(&replica.0)) else { return };
         (server.load, server.loaded) = load.map_or((server.load, server.loaded), |load| (load, self.now));
@@ -541,6 +526,9 @@
     /// Refuses what would only finish late, by worth for work: the dear survive overload.
     fn admit(&mut self) {
         for number in std::mem::take(&mut self.fresh) {
+            if self.spare_laden(number) {
+                self.end_query(number, false, Cause::PredictedLate);
+            }
             let Some(query) = self.queries.get(&number) else { continue };
             let class = query.class;
             let cost: f64 = query.parts.iter().map(|p| p.cost).sum();
@@ -585,13 +573,39 @@
             kept += 1;
         }
         if goal < class.whole_from && class.partial_earns * share * all as f64 > TRIM_GAIN * kept as f64 {
-            for index in order.drain(kept..) {
-                query.parts[index].left_out = true;
-                self.waiting.remove(&(number, query.parts[index].shard, index));
-            }
+            self.leave_out(number, order.split_off(kept));
+        }
+    }
+
+    fn leave_out(&mut self, number: u64, parts: Vec<usize>) {
+        let Some(query) = self.queries.get_mut(&number) else { return };
+        for index in parts {
+            query.parts[index].left_out = true;
+            self.waiting.remove(&(number, query.parts[index].shard, index));
         }
     }
 
+    /// Whether what this router has out at a replica is as much as it may predict to be done in time.
+    fn laden(&self, server: &Server, class: usize) -> bool {
+        server.pace.is_laden(server.out, self.s.classes[class].aim * ADMIT_AT)
+    }
+
+    /// Leaves out parts that only laden replicas could take; says if too few remain for an answer.
+    fn spare_laden(&mut self, number: u64) -> bool {
+        let Some(query) = self.queries.get(&number) else { return false };
+        let takes = |s: &&Server| s.line.state == ReplicaState::Active && s.parked.is_none();
+        let laden = |part: &Part| {
+            let mut pool =
+                self.servers.values().filter(takes).filter(|s| self.holds(s, part.shard)).peekable();
+            pool.peek().is_some() && pool.all(|s| self.laden(s, query.class))
+        };
+        let parts: Vec<_> = (0..query.parts.len()).filter(|at| laden(&query.parts[*at])).collect();
+        let lost = parts.iter().map(|at| query.parts[*at].weight).sum::<f64>();
+        let little = 1.0 - lost < self.s.classes[query.class].least_share;
+        self.leave_out(number, parts);
+        little
+    }
+
     fn note_pace(&mut self, number: u64, served: bool) {
         // One cut short would have taken longer: its aim stands for that, if its client meant to wait for it.
         let meant = |q: &&Query| served || q.deadline - q.accepted >= self.s.classes[q.class].aim;
@@ -636,22 +650,6 @@
         }
     }
 
-    fn note_budget(&mut self, again: bool) {
-        if let Some(budget) = self.s.budget {
-            self.m.budget.push((self.now, again));
-            self.m.budget.retain(|(at, _)| *at >= self.now - budget.window);
-        }
-    }
-
-    fn in_budget(&self) -> bool {
-        self.s.budget.is_none_or(|budget| {
-            let since = self.now - budget.window;
-            let made = self.m.budget.iter().filter(|(at, again)| *again && *at >= since).count() as f64;
-            let taken = self.m.budget.iter().filter(|(at, again)| !again && *at > since).count() as f64;
-            made + 1.0 <= budget.free + budget.ratio * taken
-        })
-    }
-
     /// Whether the rules of its class and the count of attempts allow the part one more.
     fn may_send(&self, part: &Part, class: usize) -> bool {
         let spent = part.done || part.out.is_some() || part.attempts >= self.s.max_attempts;
@@ -667,11 +665,9 @@
         let listed = |s: &&Server| s.line.state != ReplicaState::Gone;
         let heard: Vec<f64> = self.servers.values().filter(listed).filter_map(|s| s.dr).collect();
         self.m.mean = (!heard.is_empty()).then(|| heard.iter().sum::<f64>() / heard.len() as f64);
-        if let Some(rule) = self.s.cold {
-            let way = |s: &Server| s.line.started.map(|at| (s.loaded - at) / rule.warm_within);
-            let told = self.servers.values().filter(listed).map(|s| (s.load, way(s)));
-            self.m.traffic.told(self.now, &rule, told);
-        }
+        let way = |s: &Server| Some((s.loaded - s.line.started?) / self.s.cold?.warm_within);
+        let told = self.servers.values().filter(listed).map(|s| (s.load, way(s)));
+        self.m.traffic.told(self.now, self.s.cold, told);
         let since = self.now - self.forgive;
         let before = self.now - self.m.usual.unwrap_or(0.0) * DEAD_AFTER_USUAL;
         let dead = |s: &&Server| s.died.is_some_and(|at| since < at && at <= before && s.heard < at);
@@ -685,7 +681,7 @@
             // A query that may kill what takes it risks one replica until a part of it has completed.
             let risky = query.share == 0.0 && (self.now < self.wary || query.resets.len() >= POISON);
             let held = (risky && query.parts.iter().any(|p| p.out.is_some()))
-                || (part.attempts > 0 && !self.in_budget());
+                || (part.attempts > 0 && !self.m.budget.allows(self.s.budget, self.now));
             if held || !self.may_send(part, query.class) {
                 continue;
             }
@@ -727,6 +723,7 @@
         }
         prefer(&mut pool, |s| s.parked.is_none());
         prefer(&mut pool, |s| failed(s, class) < FAILING);
+        prefer(&mut pool, |s| !self.laden(s, class));
         prefer(&mut pool, |s| !part.tried.contains(&s.number));
         // A record recovers with a few parts. What can't go again needs a longer memory.
         if self.s.classes[class].repeat == Repeat::Unsafe {
@@ -783,9 +780,9 @@
         server.flights += 1;
         server.call = (self.now, if server.call.0 == self.now { server.call.1 + 1 } else { 1 });
         server.cold = (room.map_or(0.0, |(room, _)| room - part.cost), self.now);
-        let (class, sent, cost, idle) = (query.class, self.now, part.cost, server.idle);
-        let flight =
-            Flight { server: to, class, sent, cost, idle, load_then: self.load_out, ..Flight::default() };
+        let (class, sent, cost, idle, ahead) = (query.class, self.now, part.cost, server.idle, server.out);
+        let load_then = self.load_out;
+        let flight = Flight { server: to, class, sent, cost, idle, load_then, ahead, ..Flight::default() };
         self.load_out += cost;
         let timeout = (until - self.now).max(self.s.tick);
         let (why, part, replica) = (part.why, part.id.clone(), server.line.id.clone());
@@ -793,7 +790,7 @@
         self.actions.push(Action::Send { part, replica, timeout, why, choice });
         if again {
             self.m.further -= 1.0;
-            self.note_budget(true);
+            self.m.budget.note(self.s.budget, self.now, true);
         }
     }
 
@@ -900,7 +897,8 @@
             let again = safe && attempts < self.s.max_attempts;
             // Silence on an idle connection is not the replica's only where resets say that such are dropped.
             let flight = self.flights.get(&(id.clone(), attempt)).filter(|f| f.cancelled.is_none());
-            let dropped = flight.is_some_and(|f| f.idle.is_some()) && self.drops() > DROPS;
+            let dropped =
+                flight.is_some_and(|f| f.idle.is_some()) && self.m.idle.drops(self.now, self.forgive);
             let parked = !dropped && self.park(server, false);
             if again && (dropped || (parked && !none && self.m.further >= 1.0)) {
                 self.cancel(&id, attempt, if dropped { Why::Dropped } else { Why::Silent });
@@ -968,8 +966,8 @@
 
     fn look_after_servers(&mut self) {
         let now = self.now;
-        if self.drops() > DROPS {
-            let idle = |s: &Server| s.flights == 0 && s.used.is_some_and(|at| now - at > self.m.idle_limit);
+        if self.m.idle.drops(self.now, self.forgive) {
+            let idle = |s: &Server| s.flights == 0 && s.used.is_some_and(|at| now - at > self.m.idle.limit);
             let idle: Vec<ServerNo> = self.servers.iter().filter(|(_, s)| idle(s)).map(|(n, _)| *n).collect();
             idle.into_iter().for_each(|number| self.let_go(number));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod api;
 pub mod asking;
+pub mod budget;
 pub mod cli;
 pub mod cold;
 pub mod config;
@@ -25,9 +26,11 @@
 pub mod handover;
 pub mod hash;
 pub mod http;
+pub mod idle;
 pub mod lag;
 pub mod log;
 pub mod operator;
+pub mod pace;
 pub mod service;
 #[allow(missing_docs)] // Its fields have the names that the settings object gives them.
 pub mod settings;
