Open a watch that fell silent anew before what it missed counts as told

Checked and ruled out: the service did not fail (no 503, no refused connection in any log), and calls waiting for room or for a connection are not it, as the sends went on for seconds. At fault: Watch::run reported silence as News::Broken, and Asking::failed then waits up to the whole time within which the service is to be asked (5 s to 10 s for one of 300 aggregators), which is meant for a service that has too much to do. Of what a silent watch missed, all counts as told 2 s after its wait, 0.5 s after it is given up here.

Change: silence is told apart (News::Silent), and the core begins the watch anew by itself within that half second, scattered by chance (Watching in src/asking.rs, which also holds the agent's watch); a call that fails afterwards waits as before. Pushed lists go on as they did. Tests in virtual time and on sockets (both wires); the one on sockets fails without the change.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -51,53 +51,75 @@
     }
 }
 
+/// How long a watch asks the service to wait for news: short enough to notice early that it hangs.
+pub const WAIT: Millis = 5000.0;
+/// How much later than that an answer may come before the watch counts as silent, and when what a silent one missed
+/// counts as told, whether or not it arrived.
+pub const SILENT_AFTER: Millis = 1500.0;
+const TOLD_AFTER: Millis = 2000.0;
 /// How soon a watch on pushed lists is begun again after it broke: a watch goes on as long as its next call comes
 /// within 200 ms of the last answer, and half of that is left for the call's own way.
 const AGAIN: Millis = 100.0;
 
-/// The watch on an agent of one's own, to which lists are pushed. What the agent holds counts as told, so that it is
-/// watched at all times; asking costs nobody else anything.
+/// A watch that is to be begun again soon after it broke, at no wish of the router. Lists that are pushed come to an
+/// agent of one's own, which is watched at all times: what it holds counts as told, and asking costs nobody else
+/// anything. A watch on the service of all routers is opened anew by this only if it fell silent: a call that failed
+/// says that the service has too much to do, but silence says nothing, and all that it hides soon counts as told.
 #[derive(Debug, Clone)]
-pub struct Agent {
-    watch: Watch,
-}
+pub struct Watching(State);
 
 #[derive(Debug, Clone, Copy)]
-enum Watch {
-    Broken,
+enum State {
+    /// It is to begin again after so long.
+    Broken(Millis),
     /// It is to begin.
     Due(Millis),
     On,
 }
 
-impl Default for Agent {
-    fn default() -> Self {
-        Agent { watch: Watch::Due(0.0) }
+impl Watching {
+    /// A watch on an agent, to begin at once.
+    pub fn an_agent() -> Self {
+        Watching(State::Due(0.0))
+    }
+
+    /// A watch on the service, which the router begins.
+    pub fn the_service() -> Self {
+        Watching(State::On)
     }
-}
 
-impl Agent {
-    /// The watch has broken.
+    /// The watch on the agent has broken.
     pub fn broken(&mut self) {
-        self.watch = Watch::Broken;
+        self.0 = State::Broken(AGAIN);
+    }
+
+    /// The watch on the service has fallen silent, maybe those of all routers at once: all open it anew before what it
+    /// missed counts as told, scattered by chance (0 to 1), as the service works through calls in turn.
+    pub fn silent(&mut self, chance: f64) {
+        self.0 = State::Broken((TOLD_AFTER - SILENT_AFTER) * chance);
+    }
+
+    /// Whether it has broken, and when to begin it is still to be said.
+    pub fn is_broken(&self) -> bool {
+        matches!(self.0, State::Broken(_))
     }
 
     /// When to begin the watch, if it is not on.
     pub fn due(&self) -> Option<Millis> {
-        match self.watch {
-            Watch::Due(at) => Some(at),
-            Watch::Broken | Watch::On => None,
+        match self.0 {
+            State::Due(at) => Some(at),
+            State::Broken(_) | State::On => None,
         }
     }
 
     /// Whether to begin it now. It is on from then until it is told to have broken.
     pub fn begins(&mut self, now: Millis) -> bool {
-        if let Watch::Broken = self.watch {
-            self.watch = Watch::Due(now + AGAIN);
+        if let State::Broken(after) = self.0 {
+            self.0 = State::Due(now + after);
         }
         let begins = self.due().is_some_and(|at| now >= at);
         if begins {
-            self.watch = Watch::On;
+            self.0 = State::On;
         }
         begins
     }
@@ -107,7 +129,7 @@
 mod tests {
     use std::collections::VecDeque;
 
-    use super::{Agent, Asking};
+    use super::{Asking, Watching, SILENT_AFTER, TOLD_AFTER};
     use crate::hash::draw;
 
     /// A service that answers in turn, each call in so many milliseconds, and fails what has waited for 2 s: calls
@@ -160,7 +182,7 @@
 
     #[test]
     fn an_agent_is_watched_at_once_and_again_soon_after_each_break() {
-        let mut agent = Agent::default();
+        let mut agent = Watching::an_agent();
         assert_eq!(agent.due(), Some(0.0));
         assert!(agent.begins(5.0) && !agent.begins(6.0));
         assert_eq!(agent.due(), None);
@@ -170,4 +192,23 @@
         let again = agent.due().unwrap();
         assert!(again < 1200.0 && !agent.begins(again - 1.0) && agent.begins(again));
     }
+
+    #[test]
+    fn silent_watches_are_opened_anew_before_what_they_missed_counts_as_told_and_not_all_at_once() {
+        let mut chance = 7;
+        let mut watches = vec![Watching::the_service(); 300];
+        assert!(watches.iter_mut().all(|watch| !watch.begins(0.0) && watch.due().is_none()));
+        watches.iter_mut().for_each(|watch| watch.silent(draw(&mut chance)));
+        // Each is silent so long after its wait, and what it missed counts as told so much later.
+        let left = TOLD_AFTER - SILENT_AFTER;
+        let mut begun = vec![0; 5];
+        for now in 0..500 {
+            let count =
+                watches.iter_mut().filter_map(|watch| watch.begins(f64::from(now)).then_some(())).count();
+            begun[now as usize / 100] += count;
+        }
+        let last = watches.iter_mut().filter_map(|watch| watch.begins(left).then_some(())).count();
+        assert_eq!(begun.iter().sum::<usize>() + last, 300);
+        assert!(begun.iter().all(|count| (30..=90).contains(count)), "{begun:?}");
+    }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -26,8 +26,9 @@
 use std::sync::Arc;
 
 use crate::api::{Cause, Discovery, Event, Millis, Outcome, Repeat, ReplicaId, ReplicaState, Settings};
-use crate::asking::Agent;
+use crate::asking::Watching;
 use crate::counters::{Counters, Gauges};
+use crate::hash::mix;
 use crate::settings::Info;
 use crate::trace::tape::{InForce, Tape};
 use crate::Router;
@@ -198,6 +199,8 @@
     Changes(Vec<Listed>),
     /// The directory could not be asked; the old list stands.
     Broken,
+    /// A watch on the directory has fallen silent: it is broken, and what it missed is not known.
+    Silent,
 }
 
 /// Something for the outside world to do.
@@ -265,7 +268,10 @@
     probe_timeout: Millis,
     ledger: Ledger,
     hand: Hand,
-    agent: Agent,
+    /// The watch on the agent, where lists are pushed, and on the service, should that fall silent.
+    agent: Watching,
+    service: Watching,
+    chance: u64,
     /// Events that wait for the next step.
     inbox: Vec<Event>,
     orders: VecDeque<Order>,
@@ -294,7 +300,9 @@
             probe_timeout: 0.0,
             ledger: Ledger::default(),
             hand: Hand::default(),
-            agent: Agent::default(),
+            agent: Watching::an_agent(),
+            service: Watching::the_service(),
+            chance: mix(seed),
             inbox: Vec::new(),
             orders: VecDeque::new(),
             wake: None,
@@ -356,13 +364,20 @@
 
     /// Whether something waits for a step.
     pub fn has_news(&self) -> bool {
-        !self.inbox.is_empty()
+        !self.inbox.is_empty() || self.watching().is_broken()
     }
 
     /// When the next step is due, if nothing happens before.
     pub fn wake_at(&self) -> Option<Millis> {
-        let agent = self.agent.due().filter(|_| self.is_pushed());
-        self.wake.into_iter().chain(agent).reduce(f64::min)
+        self.wake.into_iter().chain(self.watching().due()).reduce(f64::min)
+    }
+
+    fn watching(&self) -> &Watching {
+        if self.is_pushed() {
+            &self.agent
+        } else {
+            &self.service
+        }
     }
 
     /// Whether lists come to an agent of this aggregator's own. The router never asks for such.
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -3,6 +3,7 @@
 use super::ledger::Place;
 use super::{CallNo, Core, Listed, News, Order, Verdict};
 use crate::api::{Action, Event, ListNews, Millis, ReplicaState};
+use crate::hash::draw;
 
 impl Core {
     /// Hands the router all that happened by `now` and carries out what it says.
@@ -22,7 +23,8 @@
         for action in actions {
             self.act(now, action);
         }
-        if self.is_pushed() && self.agent.begins(now) {
+        let watching = if self.is_pushed() { &mut self.agent } else { &mut self.service };
+        if watching.begins(now) {
             self.orders.push_back(Order::Watch);
         }
     }
@@ -70,7 +72,11 @@
         let (listed, whole) = match &news {
             News::Cached(lines) | News::Full(lines) => (lines.as_slice(), true),
             News::Changes(lines) => (lines.as_slice(), false),
-            News::Broken => {
+            // The router's own waits are for a service that fails.
+            News::Silent if !self.is_pushed() => {
+                return self.service.silent(draw(&mut self.chance));
+            }
+            News::Broken | News::Silent => {
                 self.agent.broken();
                 (&[][..], false)
             }
@@ -94,7 +100,7 @@
             News::Cached(lines) => ListNews::Cached(replicas(lines)),
             News::Full(lines) => ListNews::Full(replicas(lines)),
             News::Changes(lines) => ListNews::Changes(replicas(lines)),
-            News::Broken => ListNews::Broken,
+            News::Broken | News::Silent => ListNews::Broken,
         }));
     }
 
--- a/src/directory/watch.rs
+++ b/src/directory/watch.rs
@@ -9,6 +9,8 @@
 use futures_lite::future;
 
 use super::{Reload, Target};
+use crate::api::Millis;
+use crate::asking::{SILENT_AFTER, WAIT};
 use crate::config::Config;
 use crate::core::drive::{Directory, Driver};
 use crate::core::News;
@@ -17,10 +19,6 @@
 use crate::http::write;
 use crate::log::{self, Reason};
 
-/// How long the service is asked to wait for news. Short enough to notice early that it hangs.
-const WAIT: Duration = Duration::from_millis(5000);
-/// How much longer an answer may take than the service was asked to wait.
-const GRACE: Duration = Duration::from_millis(1500);
 /// How long a call that is not to wait may take: the service works through calls in turn.
 const FIRST: Duration = Duration::from_millis(3000);
 const CONNECT: Duration = Duration::from_millis(1000);
@@ -33,13 +31,21 @@
     /// The version that is known; `None` before any.
     index: Cell<Option<u64>>,
     on: Cell<bool>,
+    /// Whether the last call was a watch that was never answered.
+    silent: Cell<bool>,
 }
 
 impl Watch {
     /// A watch that is not on yet. It goes on from the version that is already known, if any.
     pub fn new(driver: Rc<Driver>, address: SocketAddr, known: Option<u64>) -> Rc<Self> {
         let address = Target::new(address);
-        Rc::new(Watch { driver, address, index: Cell::new(known), on: Cell::new(false) })
+        Rc::new(Watch {
+            driver,
+            address,
+            index: Cell::new(known),
+            on: Cell::new(false),
+            silent: Cell::new(false),
+        })
     }
 
     async fn run(self: Rc<Self>) {
@@ -61,7 +67,7 @@
         self.ended(address, why.kind().into(), &why.to_string());
         // The core decides when to ask again.
         self.on.set(false);
-        self.driver.take_news(News::Broken);
+        self.driver.take_news(if self.silent.get() { News::Silent } else { News::Broken });
     }
 
     fn ended(&self, address: SocketAddr, reason: Reason, why: &str) {
@@ -96,8 +102,9 @@
         // call of each aggregator just when all start.
         let (target, limit) = match self.index.get() {
             None => ("/v1/servers".to_string(), FIRST),
-            Some(index) => (format!("/v1/servers?after={index}&wait_ms={}", WAIT.as_millis()), WAIT + GRACE),
+            Some(index) => (format!("/v1/servers?after={index}&wait_ms={WAIT}"), ms(WAIT + SILENT_AFTER)),
         };
+        self.silent.set(false);
         let mut open = match client.take() {
             Some(open) => open,
             None => Client::connect(address, CONNECT, MOST_LIST).await?,
@@ -107,7 +114,10 @@
             open.write(&request).await?;
             open.read().await
         };
-        let answer = within(limit, call).await?;
+        let answer = within(limit, call).await;
+        let unanswered = answer.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::TimedOut);
+        self.silent.set(unanswered && self.index.get().is_some());
+        let answer = answer?;
         if answer.start.1 != "200" {
             return Err(io::Error::other(format!("status {}", answer.start.1)));
         }
@@ -122,6 +132,10 @@
     }
 }
 
+fn ms(span: Millis) -> Duration {
+    Duration::from_secs_f64(span / 1000.0)
+}
+
 /// Whether a call failed with its connection, and not by an answer or by its time.
 fn closed(error: &io::Error) -> bool {
     use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, UnexpectedEof};
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -180,3 +180,21 @@
         assert_eq!(matches!(verdict, Verdict::Refused { .. }), refused, "{outcome:?}: {verdict:?}");
     }
 }
+
+/// A service that fails has too much to do, and is left alone for a while; one that is silent hides what it knows.
+#[test]
+fn a_watch_that_fell_silent_begins_anew_within_half_a_second_and_one_that_failed_as_the_router_says() {
+    let mut core = core(100);
+    let watches = |core: &mut Core| orders(core).iter().filter(|order| **order == Order::Watch).count();
+    core.take_news(News::Silent);
+    assert!(core.has_news(), "it says when");
+    let mut begun = 0;
+    for now in (10..=510).step_by(5) {
+        core.step(f64::from(now));
+        begun += watches(&mut core);
+    }
+    assert_eq!((begun, core.has_news()), (1, false));
+    core.take_news(News::Broken);
+    core.step(520.0);
+    assert_eq!(watches(&mut core), 0);
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -10,11 +10,12 @@
 mod upgrade;
 
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use aggregator::{answer, line, Aggregator};
-use serde_json::json;
+use serde_json::{json, Value};
 use stand_in::{discovery, in_pieces, Act, Board, Wire, WIRES};
 
 #[test]
@@ -183,6 +184,29 @@
     assert!(ended.contains("status 503"), "{ended}");
 }
 
+/// All that a silent watch hides soon counts as told, however many aggregators ask the same service.
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_also_by_one_of_many_aggregators() {
+    let many = |config: &mut Value, _: &[SocketAddr]| {
+        config["settings"]["balancers"] = json!(300);
+        config["settings"]["rules"] = json!({"ask_every_ms": 600_000.0});
+    };
+    let all = WIRES.map(|wire| (wire, Aggregator::changed(wire, 2, many)));
+    for (_, aggregator) in &all {
+        // The call that is out is answered, and the next one never.
+        aggregator.board.change(|state| state.hangs = true);
+        let calls = aggregator.board.read(|state| state.calls);
+        aggregator.board.list(json!([line(0, aggregator.stores[0], "ready", 0)]));
+        aggregator.board.wait("a call that hangs", |state| state.calls > calls);
+        aggregator.board.change(|state| state.hangs = false);
+    }
+    for (wire, aggregator) in &all {
+        aggregator.board.tell(json!([line(0, aggregator.stores[0], "draining", 0)]));
+        assert!(aggregator.ask("run-lookup", &[0], 9000).whole(), "{wire:?}");
+        assert_eq!(aggregator.board.read(|state| state.parts.clone()), [(1, 0)], "{wire:?}");
+    }
+}
+
 /// All aggregators of a fleet may start at once: each costs discovery one call then, which asks and watches in one.
 #[test]
 fn the_first_call_to_discovery_is_the_watch() {
