Wait for a run store that is alone by its own pace, and refuse what none can take

Checked and ruled out: turned away as full are under a fifth of what fails there; other run stores complete everything within 12 ms to 20 ms. At fault: retry_silent called a part back after 0.4 of the aim though only the same run store could take it again; spare_laden looked at unparked holders alone, so the bound fell away once the run store was parked; and nothing looked at shards that nobody may take.

Change: a part that no other could take is waited for as long as the replica's own pace explains, the bound holds for parked ones, the cheap may predict less time at a laden one than the dear (by worth for work, as admission does), and what too few replicas can take is told at once, unsent, by its cause. Tenants' shares and trimming move into deciders of their own (src/quota.rs, src/trim.rs), deciding as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,6 +9,7 @@
 use crate::api::*;
 use crate::hash::{draw, hash, mix};
 use crate::{asking::Asking, budget::Spent, cold, faded::Faded, idle::Idle, lag::Lag, pace::Pace};
+use crate::{quota::Quotas, trim::lightest};
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
@@ -52,9 +53,6 @@
 /// in this step: no client can tell. Ties go to the call (its overhead is paid), the own zone, then an order.
 const TIE: f64 = 1.15;
 const TIE_OF_AIM: f64 = 0.3;
-/// Weight kept above the least share in trimming, as some may be late, and its least gain in worth for work.
-const TRIM_KEEPS: f64 = 0.15;
-const TRIM_GAIN: f64 = 1.2;
 /// Bounds of what the work out now, against that behind the usual latency, makes of a prediction.
 const GROWTH: (f64, f64) = (0.5, 2.0);
 /// Late worth under this share is not worth late work while the fleet is pressed.
@@ -73,8 +71,6 @@
 /// it failed of a class, from which all do: what fails at once looks fast and idle, to repeats above all.
 const LOSSY: f64 = 0.05;
 const FAILING: f64 = 0.5;
-/// Queries of a tenant that may come in a clump within its share, if a second's worth is less.
-const QUOTA_SLACK: f64 = 5.0;
 /// Ticks between sweeps while queries are held.
 const SWEEP_TICKS: f64 = 2.0;
 
@@ -203,8 +199,7 @@
     /// By class: how long its queries take, in usual latencies of a part, and when one last told.
     spread: Vec<Faded>,
     density: Option<f64>,
-    /// By tenant: what is left of its own share, and when that was reckoned.
-    quota: Vec<(f64, Millis)>,
+    quota: Quotas,
     idle: Idle,
     traffic: cold::Traffic,
     further: f64,
@@ -245,7 +240,7 @@
         self.min_aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         self.forgive = self.min_aim * FORGIVE_AIMS;
         self.m.spread.resize(classes, Faded::default());
-        self.m.quota = settings.tenants.iter().map(|t| (t.quota_per_s, now)).collect();
+        self.m.quota = Quotas::new(&settings.tenants, now);
         self.servers.values_mut().for_each(|server| server.failed.resize(classes, Faded(0.0, now)));
         self.s = settings;
         Ok(())
@@ -331,13 +326,8 @@
         self.m.budget.note(self.s.budget, self.now, false);
         let mut worth = self.s.classes[class].worth;
         let tenant = new.tenant.map_or(usize::MAX, |TenantIndex(tenant)| tenant);
-        if let Some((bucket, told)) = self.m.quota.get_mut(tenant).zip(self.s.tenants.get(tenant)) {
-            let rate = told.quota_per_s / f64::from(self.s.routers);
-            let filled = (bucket.0 + rate * (self.now - bucket.1) / 1000.0).min(rate.max(QUOTA_SLACK));
-            if filled < 1.0 {
-                worth *= self.s.over_share_worth;
-            }
-            *bucket = ((filled - 1.0).max(0.0), self.now);
+        if !self.m.quota.take(tenant, &self.s.tenants, self.s.routers, self.now) {
+            worth *= self.s.over_share_worth;
         }
         let NewQuery { id, number, deadline, arrived, .. } = new;
         self.numbers.insert(id.clone(), number);
@@ -526,21 +516,22 @@
     /// Refuses what would only finish late, by worth for work: the dear survive overload.
     fn admit(&mut self) {
         for number in std::mem::take(&mut self.fresh) {
-            if self.spare_laden(number) {
-                self.end_query(number, false, Cause::PredictedLate);
-            }
             let Some(query) = self.queries.get(&number) else { continue };
-            let class = query.class;
-            let cost: f64 = query.parts.iter().map(|p| p.cost).sum();
-            self.m.traffic.asked(query.parts.len(), SMOOTH_QUERIES);
             let per = if self.s.worth_by_work { 1.0 } else { query.parts.len().max(1) as f64 };
-            let density = query.worth / per;
+            let (density, parts) = (query.worth / per, query.parts.len());
             let usual = blend(self.m.density, density);
             self.m.density = Some(usual);
+            self.m.traffic.asked(parts, SMOOTH_QUERIES);
+            let factor = (density / usual.max(f64::MIN_POSITIVE)).sqrt().clamp(ADMIT_RANGE.0, ADMIT_RANGE.1);
+            if let Some(why) = self.spare_laden(number, ADMIT_AT * factor.min(1.0)) {
+                self.end_query(number, false, why);
+            }
+            let Some(query) = self.queries.get(&number) else { continue };
+            let class = query.class;
+            let cost: f64 = query.parts.iter().map(|p| p.cost).sum();
             // Parts of a query see half of their fellows out on average.
             let load = self.load_out + cost * 0.5;
             let growth = (load / self.m.load_then.unwrap_or(load).max(cost * 0.5)).clamp(GROWTH.0, GROWTH.1);
-            let factor = (density / usual.max(f64::MIN_POSITIVE)).sqrt();
             let predicted = self.pace(class) * growth;
             // What its client will not wait for is work for nobody, however idle the fleet.
             let spread = self.m.spread[class].at(self.now, self.in_turn(self.forgive));
@@ -550,33 +541,16 @@
             if !vain && self.busy() == Some(false) {
                 continue;
             }
-            if vain || predicted > ADMIT_AT * factor.clamp(ADMIT_RANGE.0, ADMIT_RANGE.1) {
+            if vain || predicted > ADMIT_AT * factor {
                 let within = query.worth >= self.s.classes[class].worth;
                 self.end_query(number, false, if within { Cause::PredictedLate } else { Cause::BeyondShare });
             } else if predicted > PRESSED_AT || many || self.busy().is_some() {
-                self.trim(number, predicted > PRESSED_AT);
+                let weights: Vec<_> = query.parts.iter().map(|p| p.weight).collect();
+                self.leave_out(number, lightest(&weights, &self.s.classes[class], predicted > PRESSED_AT));
             }
         }
     }
 
-    /// Leaves out a query's lightest parts where that earns more for the work: under the mean, if unpressed.
-    fn trim(&mut self, number: u64, pressed: bool) {
-        let Some(query) = self.queries.get_mut(&number) else { return };
-        let class = &self.s.classes[query.class];
-        let (goal, all) = (class.least_share + TRIM_KEEPS, query.parts.len());
-        let mut order: Vec<_> = (0..all).collect();
-        order.sort_by(|a, b| query.parts[*b].weight.total_cmp(&query.parts[*a].weight));
-        let (mut share, mut kept) = (0.0, 0);
-        let heavy = |index: usize| !pressed && query.parts[index].weight * all as f64 >= 1.0;
-        while kept < all && (share < goal || heavy(order[kept])) {
-            share += query.parts[order[kept]].weight;
-            kept += 1;
-        }
-        if goal < class.whole_from && class.partial_earns * share * all as f64 > TRIM_GAIN * kept as f64 {
-            self.leave_out(number, order.split_off(kept));
-        }
-    }
-
     fn leave_out(&mut self, number: u64, parts: Vec<usize>) {
         let Some(query) = self.queries.get_mut(&number) else { return };
         for index in parts {
@@ -585,25 +559,33 @@
         }
     }
 
-    /// Whether what this router has out at a replica is as much as it may predict to be done in time.
-    fn laden(&self, server: &Server, class: usize) -> bool {
-        server.pace.is_laden(server.out, self.s.classes[class].aim * ADMIT_AT)
+    /// Whether what this router has out at a replica takes a share of the aim, as far as it knows.
+    fn laden(&self, server: &Server, class: usize, share: f64) -> bool {
+        server.pace.is_laden(server.out, self.s.classes[class].aim * share)
     }
 
-    /// Leaves out parts that only laden replicas could take; says if too few remain for an answer.
-    fn spare_laden(&mut self, number: u64) -> bool {
-        let Some(query) = self.queries.get(&number) else { return false };
-        let takes = |s: &&Server| s.line.state == ReplicaState::Active && s.parked.is_none();
-        let laden = |part: &Part| {
-            let mut pool =
-                self.servers.values().filter(takes).filter(|s| self.holds(s, part.shard)).peekable();
-            pool.peek().is_some() && pool.all(|s| self.laden(s, query.class))
-        };
-        let parts: Vec<_> = (0..query.parts.len()).filter(|at| laden(&query.parts[*at])).collect();
-        let lost = parts.iter().map(|at| query.parts[*at].weight).sum::<f64>();
-        let little = 1.0 - lost < self.s.classes[query.class].least_share;
-        self.leave_out(number, parts);
-        little
+    /// Leaves out parts that none could take, or only laden replicas; says why if too few remain for an
+    /// answer. The cheap may predict less time there than the dear: what it can still do goes to these.
+    fn spare_laden(&mut self, number: u64, share: f64) -> Option<Cause> {
+        let query = self.queries.get(&number)?;
+        // Before any list nothing is known to be missing.
+        self.servers.values().find(|s| s.line.state != ReplicaState::Gone)?;
+        let (mut why, mut lost, mut out) = (Cause::PredictedLate, 0.0, Vec::new());
+        for (at, part) in query.parts.iter().enumerate() {
+            let takes = |s: &&Server| s.line.state == ReplicaState::Active && self.holds(s, part.shard);
+            let mut pool: Vec<_> = self.servers.values().filter(takes).collect();
+            prefer(&mut pool, |s| s.parked.is_none());
+            if pool.is_empty() {
+                why = self.why_missing(part);
+            }
+            if pool.iter().all(|s| self.laden(s, query.class, share)) {
+                lost += part.weight;
+                out.push(at);
+            }
+        }
+        let few = 1.0 - lost < self.s.classes[query.class].least_share;
+        self.leave_out(number, out);
+        few.then_some(why)
     }
 
     fn note_pace(&mut self, number: u64, served: bool) {
@@ -723,7 +705,7 @@
         }
         prefer(&mut pool, |s| s.parked.is_none());
         prefer(&mut pool, |s| failed(s, class) < FAILING);
-        prefer(&mut pool, |s| !self.laden(s, class));
+        prefer(&mut pool, |s| !self.laden(s, class, ADMIT_AT));
         prefer(&mut pool, |s| !part.tried.contains(&s.number));
         // A record recovers with a few parts. What can't go again needs a longer memory.
         if self.s.classes[class].repeat == Repeat::Unsafe {
@@ -846,7 +828,11 @@
 
     /// What keeps the first part that is missing from coming in.
     fn why_late(&self, query: &Query) -> Cause {
-        let Some(part) = query.parts.iter().find(|p| !p.done && !p.left_out) else { return Cause::TimeUp };
+        let missing = query.parts.iter().find(|p| !p.done && !p.left_out);
+        missing.map_or(Cause::TimeUp, |part| self.why_missing(part))
+    }
+
+    fn why_missing(&self, part: &Part) -> Cause {
         let listed = || self.servers.values().filter(|s| s.line.state != ReplicaState::Gone);
         let holders: Vec<_> = listed().filter(|s| self.holds(s, part.shard)).collect();
         match listed().next() {
@@ -891,14 +877,22 @@
         let none = slow || self.now + self.m.usual.unwrap_or(0.0) > query.deadline;
         let safe = self.s.classes[class].repeat != Repeat::Unsafe;
         for (id, (attempt, server), sent, attempts) in query.out_since(since) {
-            if self.lag.back > since || self.servers.get(&server).is_none_or(|s| s.answered >= sent) {
+            let Some(known) = self.servers.get(&server).filter(|s| s.answered < sent) else { continue };
+            let Some(flight) = self.flights.get(&(id.clone(), attempt)) else { continue };
+            // One that no other could take the part from is waited for as long as its own rate explains.
+            let shard =
+                self.parts.get(&id).map_or(Shard(0), |(_, index)| self.queries[&number].parts[*index].shard);
+            let other =
+                |s: &Server| s.number != server && s.parked.is_none() && s.line.state == ReplicaState::Active;
+            let alone = !self.servers.values().any(|s| other(s) && self.holds(s, shard));
+            let usual = known.pace.takes(flight.ahead) * SUSPECT_OF_USUAL;
+            if self.lag.back > since || (alone && self.now - sent < usual) {
                 continue;
             }
             let again = safe && attempts < self.s.max_attempts;
             // Silence on an idle connection is not the replica's only where resets say that such are dropped.
-            let flight = self.flights.get(&(id.clone(), attempt)).filter(|f| f.cancelled.is_none());
-            let dropped =
-                flight.is_some_and(|f| f.idle.is_some()) && self.m.idle.drops(self.now, self.forgive);
+            let idle = flight.cancelled.is_none() && flight.idle.is_some();
+            let dropped = idle && self.m.idle.drops(self.now, self.forgive);
             let parked = !dropped && self.park(server, false);
             if again && (dropped || (parked && !none && self.m.further >= 1.0)) {
                 self.cancel(&id, attempt, if dropped { Why::Dropped } else { Why::Silent });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,11 +31,13 @@
 pub mod log;
 pub mod operator;
 pub mod pace;
+pub mod quota;
 pub mod service;
 #[allow(missing_docs)] // Its fields have the names that the settings object gives them.
 pub mod settings;
 pub mod store;
 pub mod trace;
 pub mod transport;
+pub mod trim;
 
 pub use decide::Router;
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// How long so much takes there; no time before any sample.
+    pub fn takes(self, out: f64) -> Millis {
+        self.0.map_or(0.0, |pace| out / pace)
+    }
+
     /// Whether what is out takes longer than a limit, as far as is known; one part may always be out.
     pub fn is_laden(self, out: f64, limit: Millis) -> bool {
         self.0.is_some_and(|pace| out >= (pace * limit).max(1.0))
--- /dev/null
+++ b/src/quota.rs
@@ -0,0 +1,49 @@
+//! What each tenant has left of its own share of the fleet, at one router of many.
+
+use serde::{Deserialize, Serialize};
+
+use crate::api::{Millis, Tenant};
+
+/// Queries of a tenant that may come in a clump within its share, if a second's worth is less.
+const SLACK: f64 = 5.0;
+
+/// By tenant: what is left, in queries, and when that was reckoned.
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
+pub struct Quotas(Vec<(f64, Millis)>);
+
+impl Quotas {
+    /// A second's worth for each tenant.
+    pub fn new(tenants: &[Tenant], now: Millis) -> Self {
+        Quotas(tenants.iter().map(|tenant| (tenant.quota_per_s, now)).collect())
+    }
+
+    /// A query of a tenant came in at one of so many routers, which have even parts in its share; says whether it is
+    /// within that. Queries of no tenant are.
+    pub fn take(&mut self, tenant: usize, tenants: &[Tenant], routers: u32, now: Millis) -> bool {
+        let Some((bucket, told)) = self.0.get_mut(tenant).zip(tenants.get(tenant)) else { return true };
+        let rate = told.quota_per_s / f64::from(routers);
+        let left = (bucket.0 + rate * (now - bucket.1) / 1000.0).min(rate.max(SLACK));
+        // What is beyond the share takes what is left of it too: who goes on asking for more is beyond it with all.
+        *bucket = ((left - 1.0).max(0.0), now);
+        left >= 1.0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_tenant_has_its_share_of_each_router_and_a_clump_and_is_beyond_it_while_it_asks_for_more() {
+        let tenants = [Tenant { quota_per_s: 20.0 }];
+        let within = |every: usize| {
+            let mut quotas = Quotas::new(&tenants, 0.0);
+            let at = (0..10_000).step_by(every);
+            at.filter(|now| quotas.take(0, &tenants, 2, f64::from(*now))).count()
+        };
+        // Ten a second are its part; of a hundred a second only the clump of the first moment is within it.
+        assert_eq!(within(100), 100);
+        assert!((10..=12).contains(&within(10)), "{}", within(10));
+        assert!(Quotas::new(&tenants, 0.0).take(7, &tenants, 2, 0.0), "no such tenant");
+    }
+}
