--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -12,13 +12,14 @@
         if self.ledger.open() + self.held_elsewhere >= self.max_open || late {
             self.counters.turned_away += 1;
             let cause = if late { Cause::Overdue } else { Cause::MaxOpen };
-            let verdict = Verdict::Refused { retry_after: self.advice(class), cause };
+            let verdict = Verdict::Refused { retry_after: self.advice(now, class), cause };
             self.counters.answered(&self.classes.at(class).name, &verdict);
             self.tape_turned_away(now, no, class, &ask, (deadline, cause));
             self.say_cause(now, class, cause);
             self.orders.push_back(Order::Final { query: no, verdict });
             return;
         }
+        self.taken_up(now, class);
         let id = Ledger::query_id(no);
         let tenant = ask.tenant.as_ref().and_then(|name| self.tenants.get_key_value(name.as_str()));
         let (group, tenant) = tenant.map(|(name, at)| (name.clone(), *at)).unzip();
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -3,12 +3,13 @@
 use super::ledger::{Ledger, Query};
 use super::{Core, Order, QueryNo, Verdict};
 use crate::api::{Cause, Event, Millis, QueryId, Repeat};
+use crate::hash::draw;
 use ironpaddle_trace::record::How;
 
 /// Sums of weights may fall short by this much.
 const SHARE_SLACK: f64 = 0.0001;
-/// Advice to a client whose query this core ends by itself, of its class's aim.
-const WAIT_OF_AIM: f64 = 0.25;
+/// Aims in which half of what this core turned away by itself is forgotten.
+const FORGET_AIMS: f64 = 4.0;
 
 /// The log tells of each cause once in so many milliseconds; the figures count all.
 const SAY_CAUSE: Millis = 10_000.0;
@@ -27,20 +28,30 @@
         if enough && (whole || query.partial) {
             self.close(now, no, Verdict::Served { whole, pieces, parts });
         } else {
-            let verdict = self.failed(query.class, Cause::TooLittle);
+            let class = query.class;
+            let verdict = self.failed(now, class, Cause::TooLittle);
             self.close(now, no, verdict);
         }
     }
 
-    /// How long a client should stay away.
-    pub(super) fn advice(&self, class: usize) -> Millis {
-        (self.classes.at(class).class.aim * WAIT_OF_AIM).min(self.settings.max_retry_after)
+    /// How long a client should stay away whose query this core ends by itself.
+    pub(super) fn advice(&mut self, now: Millis, class: usize) -> Millis {
+        let aim = self.classes.at(class).class.aim;
+        let half = aim * FORGET_AIMS;
+        self.advice.note(true, now, half);
+        self.advice.wait(aim, self.settings.max_retry_after, (now, half), draw(&mut self.chance))
+    }
+
+    /// A query went on to the router.
+    pub(super) fn taken_up(&mut self, now: Millis, class: usize) {
+        let half = self.classes.at(class).class.aim * FORGET_AIMS;
+        self.advice.note(false, now, half);
     }
 
     /// A failure; only clients of what is safe to repeat are asked back.
-    fn failed(&self, class: usize, cause: Cause) -> Verdict {
+    fn failed(&mut self, now: Millis, class: usize, cause: Cause) -> Verdict {
         let safe = self.classes.at(class).class.repeat == Repeat::Safe;
-        Verdict::Failed { retry_after: if safe { self.advice(class) } else { 0.0 }, cause }
+        Verdict::Failed { retry_after: if safe { self.advice(now, class) } else { 0.0 }, cause }
     }
 
     pub(super) fn end(&mut self, now: Millis, id: &QueryId, verdict: Verdict) {
@@ -51,15 +62,15 @@
 
     fn close(&mut self, now: Millis, no: QueryNo, verdict: Verdict) {
         let Some(query) = self.ledger.queries.get(&no) else { return };
-        let unsafe_class = self.classes.at(query.class).class.repeat == Repeat::Unsafe;
+        let class = query.class;
+        let unsafe_class = self.classes.at(class).class.repeat == Repeat::Unsafe;
         // A refusal says that trying again is harmless: never where an unsafe part may have run.
         let verdict = match verdict {
             Verdict::Refused { cause, .. } if unsafe_class && self.ledger.may_have_run(query) => {
-                self.failed(query.class, cause)
+                self.failed(now, class, cause)
             }
             verdict => verdict,
         };
-        let class = query.class;
         self.counters.answered(&self.classes.at(class).name, &verdict);
         self.tape_verdict(now, no, super::taped::how(&verdict), verdict.cause());
         if let Some(cause) = verdict.cause() {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,6 +25,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use crate::advice::Advice;
 use crate::api::{Cause, Discovery, Event, Millis, Outcome, Repeat, ReplicaId, ReplicaState, Settings};
 use crate::asking::Watching;
 use crate::counters::{Counters, Gauges};
@@ -272,6 +273,8 @@
     agent: Watching,
     service: Watching,
     chance: u64,
+    /// How much this core has refused by itself.
+    advice: Advice,
     /// Events that wait for the next step.
     inbox: Vec<Event>,
     orders: VecDeque<Order>,
@@ -303,6 +306,7 @@
             agent: Watching::an_agent(),
             service: Watching::the_service(),
             chance: mix(seed),
+            advice: Advice::default(),
             inbox: Vec::new(),
             orders: VecDeque::new(),
             wake: None,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,8 +8,8 @@
 
 use crate::api::*;
 use crate::hash::{draw, hash, mix};
+use crate::{advice::Advice, quota::Quotas, repeats::Repeats, trim::lightest};
 use crate::{asking::Asking, budget::Spent, cold, faded::Faded, idle::Idle, lag::Lag, pace::Pace};
-use crate::{quota::Quotas, trim::lightest};
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
@@ -37,9 +37,6 @@
 const FORGIVE_AIMS: f64 = 4.0;
 /// The record's power in a rate, for repeatable parts and for unsafe ones: these can't go again.
 const TRUST_POWERS: (i32, i32) = (3, 8);
-/// Further attempts per part accepted, and the most saved up: more would be load on a slow fleet.
-const FURTHER_RATIO: f64 = 0.1;
-const FURTHER_BURST: f64 = 10.0;
 /// Share of the aim that a query may be predicted to take, and the bounds of what worth for work makes of it.
 const ADMIT_AT: f64 = 0.85;
 const ADMIT_RANGE: (f64, f64) = (0.7, 1.2);
@@ -57,8 +54,8 @@
 const GROWTH: (f64, f64) = (0.5, 2.0);
 /// Late worth under this share is not worth late work while the fleet is pressed.
 const LATE_WORTH: f64 = 0.5;
-/// Advice to a refused client, of the aim.
-const WAIT_OF_AIM: f64 = 0.25;
+/// Time between steps while nothing is held, of the time between probes.
+const STEP_OF_PROBE: f64 = 0.25;
 /// Share of the usual latency within which what drops idle connections answers the next send.
 const DROP_OF_USUAL: f64 = 0.25;
 /// Replicas that reset parts of a query, with none completed, from which the query is the likely cause.
@@ -202,7 +199,8 @@
     quota: Quotas,
     idle: Idle,
     traffic: cold::Traffic,
-    further: f64,
+    further: Repeats,
+    advice: Advice,
     budget: Spent,
 }
 
@@ -224,8 +222,7 @@
     /// Says which setting contradicts itself.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, String> {
         let rng = mix(seed ^ 0x9e37_79b9_7f4a_7c15);
-        let m = Measures { further: FURTHER_BURST, ..Measures::default() };
-        let mut router = Router { m, rng, own: rng, ..Router::default() };
+        let mut router = Router { rng, own: rng, ..Router::default() };
         router.retune(settings)?;
         Ok(router)
     }
@@ -342,7 +339,7 @@
         let hint = new.cost_hint.filter(|hint| *hint > 0.0);
         self.m.hint = hint.map(|hint| blend(self.m.hint, hint)).or(self.m.hint);
         let cost = hint.zip(self.m.hint).map_or(1.0, |(hint, mean)| hint / mean);
-        self.m.further = (self.m.further + FURTHER_RATIO).min(FURTHER_BURST);
+        self.m.further.earn(self.s.routers);
         // One key has one order at all routers where that keeps caches warm; else each query has its own.
         let key = new.key.as_deref().filter(|_| self.s.warm_keys).map_or(mix(self.own ^ new.query), hash);
         let NewPart { id, shard, weight, .. } = new;
@@ -399,7 +396,9 @@
             self.flights.values_mut().filter(older).for_each(|f| f.overtaken += 1);
         }
         if let (true, Some(idle)) = (dropped || outcome == Outcome::Completed, flight.idle) {
-            self.m.further += f64::from(u8::from(dropped));
+            if dropped {
+                self.m.further.free();
+            }
             self.m.idle.note(idle, dropped, now, forgive);
         }
         self.m.traffic.worked(!outcome.never_ran());
@@ -771,7 +770,7 @@
         self.flights.insert((part.clone(), attempt), flight);
         self.actions.push(Action::Send { part, replica, timeout, why, choice });
         if again {
-            self.m.further -= 1.0;
+            self.m.further.spend(self.s.routers);
             self.m.budget.note(self.s.budget, self.now, true);
         }
     }
@@ -860,7 +859,7 @@
                 server.lost.note(1.0, SMOOTH, now, forgive);
             }
             if self.s.classes[class].repeat != Repeat::Unsafe && attempts < self.s.max_attempts {
-                self.m.further += 1.0;
+                self.m.further.free();
                 self.cancel(&id, attempt, Why::Overtaken);
             }
         }
@@ -894,7 +893,7 @@
             let idle = flight.cancelled.is_none() && flight.idle.is_some();
             let dropped = idle && self.m.idle.drops(self.now, self.forgive);
             let parked = !dropped && self.park(server, false);
-            if again && (dropped || (parked && !none && self.m.further >= 1.0)) {
+            if again && (dropped || (parked && !none && self.m.further.allows())) {
                 self.cancel(&id, attempt, if dropped { Why::Dropped } else { Why::Silent });
             }
             if dropped {
@@ -912,6 +911,7 @@
 
     fn answer(&mut self, number: u64, whole: bool) {
         let Some(query) = self.queries.get_mut(&number) else { return };
+        self.m.advice.note(false, self.now, self.forgive);
         let two_steps = self.s.classes[query.class].second_step > 0;
         let whole = whole && query.second.unwrap_or(true);
         self.actions.push(Action::Answer { query: query.id.clone(), whole });
@@ -930,7 +930,9 @@
         let class = &self.s.classes[query.class];
         let ran = query.parts.iter().any(|p| p.may_have_run.is_some() || p.out.is_some() || p.done);
         let id = query.id.clone();
-        let retry_after = (class.aim * WAIT_OF_AIM).min(self.s.max_retry_after);
+        self.m.advice.note(true, self.now, self.forgive);
+        let (faded, chance) = ((self.now, self.forgive), draw(&mut self.rng));
+        let retry_after = self.m.advice.wait(class.aim, self.s.max_retry_after, faded, chance);
         let safe = class.repeat == Repeat::Safe;
         self.actions.push(if (ran && !safe) || query.second.is_some() || (late && ran) {
             // Only what is safe to repeat is asked back.
@@ -980,7 +982,7 @@
 
     fn set_wake(&mut self) {
         let (idle, probe) = (self.queries.is_empty(), self.min_aim * PROBE_OF_AIM);
-        let due = self.now + if idle { probe * WAIT_OF_AIM } else { self.s.tick * SWEEP_TICKS };
+        let due = self.now + if idle { probe * STEP_OF_PROBE } else { self.s.tick * SWEEP_TICKS };
         if self.wake.is_none_or(|at| at > due || at <= self.now) {
             self.wake = Some(due);
             self.actions.push(Action::WakeAt(due));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 #[doc = include_str!("../README.md")]
 pub struct Readme;
 
+pub mod advice;
 pub mod api;
 pub mod asking;
 pub mod budget;
@@ -32,6 +33,7 @@
 pub mod operator;
 pub mod pace;
 pub mod quota;
+pub mod repeats;
 pub mod service;
 #[allow(missing_docs)] // Its fields have the names that the settings object gives them.
 pub mod settings;
--- /dev/null
+++ b/src/repeats.rs
@@ -0,0 +1,96 @@
+//! One budget of repeats for a whole fleet: what one router of many may send again.
+//!
+//! Each router earns by the parts that it takes, so that the parts of all add up to a share of the fleet's traffic, however
+//! that is spread over them. What a router may save up is divided by their number: three hundred that each had
+//! saved for a lone one's bad moment would be a storm together.
+
+use serde::{Deserialize, Serialize};
+
+/// Repeats earned by each part taken: more would be load on a slow fleet.
+const RATIO: f64 = 0.1;
+/// The most that one router saves up, and the most that all of a fleet do, as four would: also the most that they may be
+/// behind after repeats that could not wait.
+const SAVED: f64 = 10.0;
+const SAVED_BY_ALL: f64 = 4.0 * SAVED;
+
+/// What one router may still send again; less than none where it had to.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Repeats(f64);
+
+impl Default for Repeats {
+    fn default() -> Self {
+        Repeats(SAVED)
+    }
+}
+
+impl Repeats {
+    /// A part was taken, by one of so many routers.
+    pub fn earn(&mut self, routers: u32) {
+        self.0 = (self.0 + RATIO).min(most(routers));
+    }
+
+    /// Whether there is one to spend.
+    pub fn allows(self) -> bool {
+        self.0 >= 1.0
+    }
+
+    /// A part is sent again by one of so many routers. What had to be goes to a bounded debt: a bad moment is not paid
+    /// for to the end of the day.
+    pub fn spend(&mut self, routers: u32) {
+        self.0 = (self.0 - 1.0).max(-most(routers));
+    }
+
+    /// A repeat that costs the fleet nothing, as the last attempt never came to work there.
+    pub fn free(&mut self) {
+        self.0 += 1.0;
+    }
+}
+
+/// A router's part in what the fleet may save up; one at least, or it could never repeat anything.
+fn most(routers: u32) -> f64 {
+    (SAVED_BY_ALL / f64::from(routers)).clamp(1.0, SAVED)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Repeats that so many routers send in a second in which each would repeat all it may, after a long calm, with so
+    /// many parts taken by each.
+    fn at_once(routers: u32, parts: u32) -> u32 {
+        let mut all = vec![Repeats::default(); routers as usize];
+        let mut sent = 0;
+        for router in &mut all {
+            (0..100).for_each(|_| router.earn(routers));
+            for part in 0..parts + 100 {
+                if part < parts {
+                    router.earn(routers);
+                }
+                while router.allows() {
+                    router.spend(routers);
+                    sent += 1;
+                }
+            }
+        }
+        sent
+    }
+
+    #[test]
+    fn the_parts_of_all_routers_add_up_to_one_budget() {
+        for routers in [1, 3, 10, 40] {
+            let budget = SAVED * f64::from(routers.min(4)) + RATIO * f64::from(routers * 300);
+            assert!(f64::from(at_once(routers, 300)) <= budget + 0.5, "{routers}: {}", at_once(routers, 300));
+        }
+        // Each of three hundred may repeat one part, and what it earns.
+        assert!(at_once(300, 10) <= 600, "{}", at_once(300, 10));
+    }
+
+    #[test]
+    fn a_bad_moment_is_paid_for_by_as_much_as_may_be_saved_and_no_more() {
+        let mut router = Repeats::default();
+        (0..1000).for_each(|_| router.spend(1));
+        assert!(!router.allows());
+        (0..=((SAVED + 1.0) / RATIO) as u32).for_each(|_| router.earn(1));
+        assert!(router.allows());
+    }
+}
