Play faults between several processes in the lab, and avoid run stores that owe answers

The first scenario played showed a loss: an aggregator cut off from all run stores and not from its clients held 17 queries for seconds and failed them at their aim, and one that some run stores no longer answer goes on sending there, as parking is bounded to a quarter of the fleet.

Change: ironpaddle-lab fleet SCENARIO starts real processes with a relay of the lab's own on every link (aggregator to run store, to discovery) that is cut, mute one way, delayed or reset by lines of the scenario; aggregators are killed, stopped, continued and restarted, load is multiplied. The checker knows who was told (one cut off from discovery is told when that is over) and who was away (lost answers are a broken rule otherwise); results tell worth asked for and earned, first attempts and repeats by second, and when full service came back. In the module a run store that owes an answer for longer than patience is passed over where another holder is not so.

--- a/crates/lab/src/aggregators.rs
+++ b/crates/lab/src/aggregators.rs
@@ -114,14 +114,41 @@
     /// # Errors
     /// If it does not come up.
     pub fn kill_and_start(&mut self) -> io::Result<()> {
+        self.kill()?;
+        self.spawn()
+    }
+
+    /// Kills it; [`Aggregator::start_again`] has it come back.
+    ///
+    /// # Errors
+    /// If it cannot be killed.
+    pub fn kill(&mut self) -> io::Result<()> {
         self.cpu_ms = self.cpu_ms();
         if let Some(mut child) = self.child.take() {
             child.kill()?;
             child.wait()?;
         }
+        Ok(())
+    }
+
+    /// Starts it where it was.
+    ///
+    /// # Errors
+    /// If it does not come up.
+    pub fn start_again(&mut self) -> io::Result<()> {
         self.spawn()
     }
 
+    /// Has it stand still, or go on.
+    ///
+    /// # Errors
+    /// If it cannot be told.
+    pub fn stop(&self, stopped: bool) -> io::Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        let signal = if stopped { "STOP" } else { "CONT" };
+        Command::new("kill").args(["-s", signal, &child.id().to_string()]).status().map(drop)
+    }
+
     /// Ends it in good order; says whether it did so by itself.
     ///
     /// # Errors
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -141,7 +141,7 @@
 
 /// Asks, and waits for the answer.
 pub fn ask(
-    to: SocketAddr,
+    (aggregator, to): (usize, SocketAddr),
     api: Api,
     query: &Query,
     asked: f64,
@@ -150,6 +150,7 @@
     let class = &CLASSES[query.class];
     let mut answer = Answer {
         query: query.id.clone(),
+        aggregator,
         asked,
         at: asked,
         wait: class.deadline,
@@ -269,6 +270,9 @@
     classes: BTreeMap<&'static str, (Ends, Option<Histogram<u32>>)>,
     groups: BTreeMap<&'static str, Ends>,
     ends: BTreeMap<String, End>,
+    /// By second of the clock in which they were asked, repeats left out: the worth of queries, and of those answered in time,
+    /// at once or by a repeat.
+    worth: BTreeMap<u64, [f64; 2]>,
 }
 
 impl Board {
@@ -302,6 +306,21 @@
         });
     }
 
+    /// A query, asked for the first time at some time, was in the end answered in time or not.
+    pub fn earned(&self, query: &Query, asked: f64, in_time: bool) {
+        let worth = CLASSES[query.class].worth;
+        self.with(|inner| {
+            let second = inner.worth.entry((asked / 1000.0) as u64).or_default();
+            second[0] += worth;
+            second[1] += if in_time { worth } else { 0.0 };
+        });
+    }
+
+    /// Worth asked for and earned, by second of the clock.
+    pub fn worth(&self) -> BTreeMap<u64, [f64; 2]> {
+        self.with(|inner| inner.worth.clone())
+    }
+
     /// The counts by class and by group.
     pub fn counts(&self) -> (BTreeMap<&'static str, Ends>, BTreeMap<&'static str, Ends>) {
         self.with(|inner| {
--- /dev/null
+++ b/crates/lab/src/links.rs
@@ -0,0 +1,164 @@
+//! Links on loopback between two processes, which can be cut, delayed and reset while they run.
+//!
+//! A link that is cut goes on accepting connections and keeps open what is open, and nothing comes through: that is how a
+//! machine that is cut off looks. What was held comes through once it is whole again.
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// What a link does to what passes it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Weather {
+    /// Nothing passes towards the listening side, and nothing back from it.
+    pub cut: [bool; 2],
+    /// What passes takes so much longer, in milliseconds.
+    pub delay_ms: f64,
+}
+
+#[derive(Default)]
+struct State {
+    weather: Weather,
+    open: Vec<TcpStream>,
+}
+
+/// A link to an address.
+#[derive(Default)]
+pub struct Link {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+impl Link {
+    /// Starts a link; says where to connect for what listens at `to`. Each connection's own address there is made known
+    /// before anything passes.
+    ///
+    /// # Errors
+    /// If it cannot listen.
+    pub fn start(
+        to: SocketAddr,
+        known: impl Fn(SocketAddr) + Send + Sync + 'static,
+    ) -> io::Result<(Arc<Self>, SocketAddr)> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let link = Arc::new(Link::default());
+        let (serving, known) = (link.clone(), Arc::new(known));
+        thread::spawn(move || {
+            for near in listener.incoming().map_while(Result::ok) {
+                let (link, known) = (serving.clone(), known.clone());
+                // A connection that ends in whatever way is no matter of the link's.
+                thread::spawn(move || drop(link.join(&near, to, &*known)));
+            }
+        });
+        Ok((link, address))
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// From now on it does this.
+    pub fn turn(&self, weather: Weather) {
+        self.with(|state| state.weather = weather);
+        self.changed.notify_all();
+    }
+
+    /// Breaks all connections that are open.
+    pub fn reset(&self) {
+        for stream in self.with(|state| std::mem::take(&mut state.open)) {
+            // It may have ended by itself.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn join(
+        self: &Arc<Self>,
+        near: &TcpStream,
+        to: SocketAddr,
+        known: &dyn Fn(SocketAddr),
+    ) -> io::Result<()> {
+        self.wait(0);
+        let far = TcpStream::connect(to);
+        let Ok(far) = far else { return near.shutdown(Shutdown::Both) };
+        known(far.local_addr()?);
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        let both = [near.try_clone()?, far.try_clone()?];
+        self.with(|state| state.open.extend(both));
+        let (link, back) = (self.clone(), (far.try_clone()?, near.try_clone()?));
+        let returning = thread::spawn(move || link.pass(1, &back.0, &back.1));
+        self.pass(0, near, &far);
+        let _ = returning.join();
+        Ok(())
+    }
+
+    /// Waits until something may pass in a direction; says how long that takes.
+    fn wait(&self, way: usize) -> f64 {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = self.changed.wait_while(state, |state| state.weather.cut[way]);
+        waited.unwrap_or_else(PoisonError::into_inner).weather.delay_ms
+    }
+
+    fn pass(&self, way: usize, mut from: &TcpStream, mut to: &TcpStream) {
+        let mut bytes = [0; 16_384];
+        while let Ok(count @ 1..) = from.read(&mut bytes) {
+            let delay = self.wait(way);
+            if delay > 0.0 {
+                thread::sleep(Duration::from_secs_f64(delay / 1000.0));
+                // It may have been cut meanwhile.
+                self.wait(way);
+            }
+            if to.write_all(&bytes[..count]).is_err() {
+                break;
+            }
+        }
+        self.wait(way);
+        let _ = to.shutdown(Shutdown::Both);
+        let _ = from.shutdown(Shutdown::Both);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A server that gives back what it gets.
+    fn echo() -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                thread::spawn(move || {
+                    let mut bytes = [0; 64];
+                    while let Ok(count @ 1..) = (&stream).read(&mut bytes) {
+                        (&stream).write_all(&bytes[..count]).unwrap();
+                    }
+                });
+            }
+        });
+        address
+    }
+
+    #[test]
+    fn what_a_cut_holds_comes_through_once_it_is_whole_and_a_reset_ends_connections() {
+        let (link, address) = Link::start(echo(), |_| ()).unwrap();
+        let mut stream = TcpStream::connect(address).unwrap();
+        let mut bytes = [0; 4];
+        stream.write_all(b"here").unwrap();
+        stream.read_exact(&mut bytes).unwrap();
+        assert_eq!(&bytes, b"here");
+        // Towards the server all passes, and nothing comes back.
+        link.turn(Weather { cut: [false, true], delay_ms: 0.0 });
+        stream.write_all(b"then").unwrap();
+        stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+        assert!(stream.read_exact(&mut bytes).is_err(), "it is cut");
+        stream.set_read_timeout(None).unwrap();
+        link.turn(Weather::default());
+        stream.read_exact(&mut bytes).unwrap();
+        assert_eq!(&bytes, b"then");
+        link.reset();
+        assert_eq!(stream.read(&mut bytes).unwrap_or(0), 0);
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod demo;
 mod discovery;
+mod links;
 mod logs;
 mod model;
 mod report;
@@ -37,6 +38,8 @@
 enum Command {
     /// Start run stores, discovery, aggregators and clients, and show queries being answered.
     Demo(demo::Options),
+    /// Play a scenario between several aggregators, with links between all processes that can be cut, delayed and reset.
+    Fleet(demo::Fleet),
     /// Measure what a line of the log costs: as it was, as text, as JSON, and filtered out. Send standard error to
     /// /dev/null.
     LogCost {
@@ -55,6 +58,7 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Demo(options) => demo::run(&options),
+        Command::Fleet(fleet) => demo::fleet(fleet),
         Command::Aggregator { config } => ironpaddle::log::begin(ironpaddle::log::Format::Text, "info")
             .and_then(|()| ironpaddle::service::run(&config))
             .map(|()| true),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -6,8 +6,19 @@
 //! at 25s slow s-1 by 4 for 10s
 //! at 30s drain s-2 for 10s
 //! at 40s aggregator kill
+//! # Between the processes of a fleet (`ironpaddle-lab fleet`).
+//! at 5s load by 3 for 20s
+//! at 6s cut n-0 from stores for 5s
+//! at 6s cut n-1 from discovery for 10s
+//! at 7s mute n-2 from s-4 for 5s
+//! at 8s delay n-0 from stores by 50ms for 5s
+//! at 9s reset n-0 from stores
+//! at 10s crash n-1 for 2s
+//! at 12s stop n-2 for 3s
+//! at 15s restart n-0
 //! ```
-//! Run stores are named (`s-1`) or counted (`3`: so many, chosen by the seed). Times are of the run's beginning.
+//! Run stores are named (`s-1`) or counted (`3`: so many, chosen by the seed). Times are of the run's beginning. A link
+//! that is cut lets nothing pass; one that is mute lets nothing back.
 
 use winnow::ascii::{alpha1, digit1, float, space1, till_line_ending};
 use winnow::combinator::{alt, cut_err, opt, preceded, terminated};
@@ -36,6 +47,49 @@
     Mute(Which, f64),
     /// The first aggregator is killed and started again.
     KillAggregator,
+    /// Clients ask so many times as often.
+    Load(f64, f64),
+    /// Links of an aggregator let nothing pass; one way or both.
+    Cut(usize, Ends, bool, f64),
+    /// Links of an aggregator take so many milliseconds longer.
+    Delay(usize, Ends, f64, f64),
+    /// Connections over links of an aggregator break.
+    Reset(usize, Ends),
+    /// An aggregator is killed, and started again after a while.
+    Crash(usize, f64),
+    /// An aggregator stands still for a while.
+    Stop(usize, f64),
+    /// An aggregator is ended in good order and started again.
+    Restart(usize),
+}
+
+/// Where links of an aggregator lead.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Ends {
+    /// To all run stores.
+    Stores,
+    /// To one.
+    Store(usize),
+    /// To discovery.
+    Discovery,
+}
+
+impl Act {
+    /// The run stores that it is about, if it is, and how long it lasts.
+    pub fn about(&self) -> (Option<&Which>, f64) {
+        match self {
+            Act::Kill(which, spell) | Act::Drain(which, spell) | Act::Mute(which, spell) => {
+                (Some(which), *spell)
+            }
+            Act::Slow(which, _, spell) => (Some(which), *spell),
+            Act::KillAggregator | Act::Reset(..) | Act::Restart(_) => (None, 0.0),
+            Act::Load(_, spell)
+            | Act::Cut(.., spell)
+            | Act::Delay(.., spell)
+            | Act::Crash(_, spell)
+            | Act::Stop(_, spell) => (None, *spell),
+        }
+    }
 }
 
 /// Something at a time, in milliseconds.
@@ -69,12 +123,44 @@
     preceded((space1, "for", space1), time).context(StrContext::Label("spell, as for 15s")).parse_next(input)
 }
 
+fn aggregator(input: &mut &str) -> ModalResult<usize> {
+    preceded("n-", number).context(StrContext::Label("aggregator, as n-0")).parse_next(input)
+}
+
+/// An aggregator, and where its links lead.
+fn links(input: &mut &str) -> ModalResult<(usize, Ends)> {
+    let to = alt((
+        "stores".value(Ends::Stores),
+        "discovery".value(Ends::Discovery),
+        preceded("s-", number).map(Ends::Store),
+    ));
+    (aggregator, preceded((space1, "from", space1), to))
+        .context(StrContext::Label("links, as n-0 from stores, from s-3 or from discovery"))
+        .parse_next(input)
+}
+
 fn act(input: &mut &str) -> ModalResult<Act> {
     let verb = terminated(alpha1, space1).context(StrContext::Label("act")).parse_next(input)?;
     match verb {
         "kill" => cut_err((which, spell)).map(|(which, spell)| Act::Kill(which, spell)).parse_next(input),
         "drain" => cut_err((which, spell)).map(|(which, spell)| Act::Drain(which, spell)).parse_next(input),
+        "mute" if input.starts_with("n-") => {
+            cut_err((links, spell)).map(|((no, to), spell)| Act::Cut(no, to, true, spell)).parse_next(input)
+        }
         "mute" => cut_err((which, spell)).map(|(which, spell)| Act::Mute(which, spell)).parse_next(input),
+        "cut" => {
+            cut_err((links, spell)).map(|((no, to), spell)| Act::Cut(no, to, false, spell)).parse_next(input)
+        }
+        "delay" => cut_err((links, preceded((space1, "by", space1), time), spell))
+            .map(|((no, to), by, spell)| Act::Delay(no, to, by, spell))
+            .parse_next(input),
+        "reset" => cut_err(links).map(|(no, to)| Act::Reset(no, to)).parse_next(input),
+        "load" => cut_err((preceded(("by", space1), float), spell))
+            .map(|(by, spell)| Act::Load(by, spell))
+            .parse_next(input),
+        "crash" => cut_err((aggregator, spell)).map(|(no, spell)| Act::Crash(no, spell)).parse_next(input),
+        "stop" => cut_err((aggregator, spell)).map(|(no, spell)| Act::Stop(no, spell)).parse_next(input),
+        "restart" => cut_err(aggregator).map(Act::Restart).parse_next(input),
         "slow" => cut_err((which, preceded((space1, "by", space1), float), spell))
             .map(|(which, by, spell)| Act::Slow(which, by, spell))
             .parse_next(input),
@@ -87,7 +173,9 @@
 fn line(input: &mut &str) -> ModalResult<Line> {
     let at = preceded(("at", space1), cut_err(time)).parse_next(input)?;
     let act = preceded(space1, act)
-        .context(StrContext::Label("act: kill, slow, drain, mute or aggregator kill"))
+        .context(StrContext::Label(
+            "act: kill, slow, drain, mute, aggregator kill, load, cut, delay, reset, crash, stop or restart",
+        ))
         .parse_next(input)?;
     (opt(space1), opt(('#', till_line_ending))).parse_next(input)?;
     Ok(Line { at, act })
@@ -146,6 +234,25 @@
         assert_eq!(lines[2], Line { at: 90_000.0, act: Act::Kill(Which::Some(3), 15_000.0) });
     }
 
+    #[test]
+    fn faults_between_processes_are_read() {
+        let text = "at 1s cut n-0 from stores for 5s\nat 2s mute n-1 from s-4 for 1s\nat 3s delay n-2 from discovery by 50ms for 2s\n\
+                    at 4s reset n-0 from stores\nat 5s crash n-1 for 2s\nat 6s stop n-2 for 3s\nat 7s restart n-0\nat 8s load by 3 for 20s";
+        let acts: Vec<_> = read(text).unwrap().into_iter().map(|line| line.act).collect();
+        let expected = [
+            Act::Cut(0, Ends::Stores, false, 5000.0),
+            Act::Cut(1, Ends::Store(4), true, 1000.0),
+            Act::Delay(2, Ends::Discovery, 50.0, 2000.0),
+            Act::Reset(0, Ends::Stores),
+            Act::Crash(1, 2000.0),
+            Act::Stop(2, 3000.0),
+            Act::Restart(0),
+            Act::Load(3.0, 20_000.0),
+        ];
+        assert_eq!(acts, expected);
+        assert!(read("at 1s cut s-1 from stores for 5s").unwrap_err().contains("aggregator, as n-0"));
+    }
+
     #[test]
     fn all_faults_are_named_by_their_lines() {
         let faults =
--- /dev/null
+++ b/crates/lab/tests/fleet.rs
@@ -0,0 +1,61 @@
+//! Several processes of the program, with faults between them: links cut, slow, mute and reset, processes killed,
+//! stopped and restarted. What is judged are the rules, with slack for slow machines; nothing is measured.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use serde_json::Value;
+
+/// Plays a scenario; its results, once no rule was broken and all ended in good order.
+fn play(scenario: &str, more: &[&str]) -> Value {
+    let file = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("scenarios").join(format!("{scenario}.txt"));
+    let folder = std::env::temp_dir().join(format!("ironpaddle-fleet-{}-{scenario}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let results = folder.join("results.json");
+    let played = Command::new(env!("CARGO_BIN_EXE_ironpaddle-lab"))
+        .arg("fleet")
+        .arg(file)
+        .args(["--seed", "3", "--slack", "1500", "--seconds", "8", "--json"])
+        .arg(&results)
+        .args(more)
+        .output()
+        .unwrap();
+    let said = String::from_utf8_lossy(&played.stdout).into_owned();
+    assert!(played.status.success(), "{said}\n{}", String::from_utf8_lossy(&played.stderr));
+    let value: Value = serde_json::from_slice(&std::fs::read(&results).unwrap()).unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(value["broken"], serde_json::json!({}), "{said}");
+    for class in ["run-lookup", "run-search", "shift-entry"] {
+        assert!(value["classes"][class]["answered"].as_u64() > Some(0), "{class}: {said}");
+    }
+    value
+}
+
+fn sum(results: &Value, what: &str) -> u64 {
+    results["classes"].as_object().unwrap().values().filter_map(|class| class[what].as_u64()).sum()
+}
+
+#[test]
+fn aggregators_cut_off_from_run_stores_or_from_discovery_break_no_rule() {
+    let results = play("cut-off", &["--aggregators", "3", "--stores", "8"]);
+    assert_eq!(sum(&results, "lost"), 0, "all aggregators were there for their clients");
+    assert!(sum(&results, "answered") < sum(&results, "asked"), "one of them could ask nobody");
+}
+
+#[test]
+fn aggregators_that_die_stand_still_or_restart_answer_all_that_they_live_to_answer() {
+    let results = play("crashes", &["--aggregators", "3", "--stores", "8"]);
+    assert!(sum(&results, "lost") > 0, "what a killed process held is lost, and nothing else");
+}
+
+#[test]
+fn three_times_the_load_while_half_of_the_run_stores_die_breaks_no_rule() {
+    let results = play("overload", &["--aggregators", "3", "--stores", "8", "--rate", "60"]);
+    assert_eq!(sum(&results, "lost"), 0);
+}
+
+#[test]
+fn three_aggregators_take_the_clients_of_seven_that_die_at_once() {
+    let results = play("seven-of-ten", &["--aggregators", "10", "--stores", "8"]);
+    assert!(sum(&results, "lost") > 0);
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -68,6 +68,17 @@
     Unsafe,
 }
 
+impl Repeat {
+    /// Whether a part may be sent now, the first send of which that may have run was at some time, if there was one.
+    pub fn allows(self, may_have_run: Option<Millis>, now: Millis) -> bool {
+        match (self, may_have_run) {
+            (Repeat::Safe, _) | (_, None) => true,
+            (Repeat::Keyed { window }, Some(first)) => now <= first + window,
+            (Repeat::Unsafe, Some(_)) => false,
+        }
+    }
+}
+
 /// What is known of a query class.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -136,6 +136,8 @@
     sent: (i64, f64),
     out: f64,
     flights: u32,
+    /// Since when it has had parts of this router.
+    owes: Millis,
     load: LoadReport,
     loaded: Millis,
     answered: Millis,
@@ -634,12 +636,7 @@
     /// Whether the rules of its class and the count of attempts allow the part one more.
     fn may_send(&self, part: &Part, class: usize) -> bool {
         let spent = part.done || part.out.is_some() || part.attempts >= self.s.max_attempts;
-        match (self.s.classes[class].repeat, part.may_have_run) {
-            _ if spent => false,
-            (Repeat::Safe, _) | (_, None) => true,
-            (Repeat::Keyed { window }, Some(first)) => self.now <= first + window,
-            (Repeat::Unsafe, Some(_)) => false,
-        }
+        !spent && self.s.classes[class].repeat.allows(part.may_have_run, self.now)
     }
 
     fn place(&mut self) {
@@ -704,7 +701,8 @@
         }
         prefer(&mut pool, |s| s.parked.is_none());
         prefer(&mut pool, |s| failed(s, class) < FAILING);
-        prefer(&mut pool, |s| !self.laden(s, class, ADMIT_AT));
+        let owes = |s: &Server| s.flights > 0 && self.now - s.owes.max(s.answered) > self.patience(class);
+        prefer(&mut pool, |s| !self.laden(s, class, ADMIT_AT) && !owes(s));
         prefer(&mut pool, |s| !part.tried.contains(&s.number));
         // A record recovers with a few parts. What can't go again needs a longer memory.
         if self.s.classes[class].repeat == Repeat::Unsafe {
@@ -752,6 +750,7 @@
         server.sent = (interval, server.sent_in(interval) + part.cost);
         server.out += part.cost;
         if server.flights == 0 {
+            server.owes = self.now;
             let most = self.s.keep_alive.unwrap_or(0.0);
             // Nothing drops connections idle for less than an aim: what fails there has other causes.
             let fatal = |idle: &Millis| *idle > self.min_aim && *idle < most;
--- a/tests/alone.rs
+++ b/tests/alone.rs
@@ -102,3 +102,26 @@
     assert!((1..10).contains(&cheap), "{cheap}");
     assert!((1..10).contains(&dear), "{dear} after {cheap} cheap ones");
 }
+
+/// Parking is bounded to a quarter of the fleet, and where more fall silent at once the rest of them would be sent on.
+#[test]
+fn parts_avoid_replicas_that_owe_answers_while_one_answers() {
+    let mut router = start(settings(Repeat::Safe), &["a", "b", "c", "d"]);
+    let mut asked = std::collections::BTreeMap::new();
+    for number in 1..=80 {
+        let now = number as f64 * 50.0;
+        let events = query(number, 1, now + 3000.0);
+        for (part, to) in sends(&router.step(now, events)) {
+            // From the middle on all but one say no more.
+            if number <= 40 || to == "a" {
+                router.step(now + 10.0, vec![ended(&part, 0, &to, Outcome::Completed, 10.0)]);
+            }
+            if number > 60 {
+                *asked.entry(to).or_insert(0) += 1;
+            }
+        }
+        run(&mut router, now + 15.0, now + 45.0);
+    }
+    let of_a = asked.get("a").copied().unwrap_or(0);
+    assert_eq!(of_a, asked.values().sum::<i32>(), "{asked:?}");
+}
