Keep for a query the repeats that its own parts earn, whatever the number of aggregators

At fault: Repeats::earn cut all that an aggregator has to one, so that of the five repeats that a query of fifty parts earns four were lost, just where a zone falls silent under it.

Change: the bound on what is saved up is never under what the query's own parts have earned. A test in src/repeats.rs shows it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -341,7 +341,7 @@
         let hint = new.cost_hint.filter(|hint| *hint > 0.0);
         self.m.hint = hint.map(|hint| blend(self.m.hint, hint)).or(self.m.hint);
         let cost = hint.zip(self.m.hint).map_or(1.0, |(hint, mean)| hint / mean);
-        self.m.further.earn(self.s.routers);
+        self.m.further.earn(self.s.routers, query.parts.len() + 1);
         // One key has one order at all routers where that keeps caches warm; else each query has its own.
         let key = new.key.as_deref().filter(|_| self.s.warm_keys).map_or(mix(self.own ^ new.query), hash);
         let NewPart { id, shard, weight, .. } = new;
--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -24,9 +24,10 @@
 }
 
 impl Repeats {
-    /// A part was taken, by one of so many routers.
-    pub fn earn(&mut self, routers: u32) {
-        self.0 = (self.0 + RATIO).min(most(routers));
+    /// A part was taken, by one of so many routers, of a query that has so many by now. What a query earns is not lost to
+    /// the bound on what is saved up.
+    pub fn earn(&mut self, routers: u32, parts: usize) {
+        self.0 = (self.0 + RATIO).min(most(routers).max(RATIO * parts as f64).min(SAVED));
     }
 
     /// Whether there is one to spend.
@@ -61,10 +62,10 @@
         let mut all = vec![Repeats::default(); routers as usize];
         let mut sent = 0;
         for router in &mut all {
-            (0..100).for_each(|_| router.earn(routers));
+            (0..100).for_each(|_| router.earn(routers, 1));
             for part in 0..parts + 100 {
                 if part < parts {
-                    router.earn(routers);
+                    router.earn(routers, 1);
                 }
                 while router.allows() {
                     router.spend(routers);
@@ -90,7 +91,20 @@
         let mut router = Repeats::default();
         (0..1000).for_each(|_| router.spend(1));
         assert!(!router.allows());
-        (0..=((SAVED + 1.0) / RATIO) as u32).for_each(|_| router.earn(1));
+        (0..=((SAVED + 1.0) / RATIO) as u32).for_each(|_| router.earn(1, 1));
         assert!(router.allows());
     }
+
+    #[test]
+    fn what_a_query_of_many_parts_earns_is_there_for_it() {
+        let mut router = Repeats::default();
+        (0..20).for_each(|_| router.spend(300));
+        (1..=60).for_each(|parts| router.earn(300, parts));
+        let mut sent = 0;
+        while router.allows() {
+            router.spend(300);
+            sent += 1;
+        }
+        assert!((4..=5).contains(&sent), "a tenth of sixty, less a debt of one: {sent}");
+    }
 }
