Let go of a link's connections in the lab once they have ended

Found in reading the change again: a link kept both ends of every connection it had ever carried until a reset, two descriptors each, so that a long run with many reconnects would run out of them. They are let go with the connection now.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -531,12 +531,13 @@
     let over = lines.iter().map(|line| line.at + line.act.about().1).fold(0.0, f64::max) / 1000.0;
     let recovered = recovered(&flow, over);
     let (asked_for, earned) = flow.iter().fold((0.0, 0.0), |sum, at| (sum.0 + at.worth, sum.1 + at.earned));
-    println!("worth in time: {:.3} of what was asked for", earned / f64::max(asked_for, 1.0));
+    let in_time = earned / f64::max(asked_for, 1.0);
+    println!("worth in time: {in_time:.3} of what was asked for");
     match recovered {
         Some(after) => println!("full service {after:.0} s after the end of the last trouble"),
         None => println!("no full service again by the end of the run"),
     }
-    let result = json!({"classes": classes, "flow": flow, "recovered_s": recovered, "in_time": earned / f64::max(asked_for, 1.0), "groups": groups, "seconds": seconds, "cpu_ms_per_query": cpu_ms / asked.max(1) as f64,
+    let result = json!({"classes": classes, "flow": flow, "recovered_s": recovered, "in_time": in_time, "groups": groups, "seconds": seconds, "cpu_ms_per_query": cpu_ms / asked.max(1) as f64,
         "broken": broken, "trace": compared, "ended_in_order": orderly, "stats": figures, "seed": options.seed,
         "scenario": scenario, "rate": options.rate, "stores": options.stores, "aggregators": options.aggregators});
     if let Some(path) = &options.json {
--- a/crates/lab/src/links.rs
+++ b/crates/lab/src/links.rs
@@ -3,6 +3,7 @@
 //! A link that is cut goes on accepting connections and keeps open what is open, and nothing comes through: that is how a
 //! machine that is cut off looks. What was held comes through once it is whole again.
 
+use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
@@ -21,7 +22,9 @@
 #[derive(Default)]
 struct State {
     weather: Weather,
-    open: Vec<TcpStream>,
+    /// Both ends of each connection that is open, by its number.
+    open: BTreeMap<u64, [TcpStream; 2]>,
+    next: u64,
 }
 
 /// A link to an address.
@@ -67,7 +70,7 @@
 
     /// Breaks all connections that are open.
     pub fn reset(&self) {
-        for stream in self.with(|state| std::mem::take(&mut state.open)) {
+        for stream in self.with(|state| std::mem::take(&mut state.open)).into_values().flatten() {
             // It may have ended by itself.
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -86,11 +89,16 @@
         near.set_nodelay(true)?;
         far.set_nodelay(true)?;
         let both = [near.try_clone()?, far.try_clone()?];
-        self.with(|state| state.open.extend(both));
+        let no = self.with(|state| {
+            state.next += 1;
+            state.open.insert(state.next, both);
+            state.next
+        });
         let (link, back) = (self.clone(), (far.try_clone()?, near.try_clone()?));
         let returning = thread::spawn(move || link.pass(1, &back.0, &back.1));
         self.pass(0, near, &far);
         let _ = returning.join();
+        self.with(|state| drop(state.open.remove(&no)));
         Ok(())
     }
 
