--- a/src/directory/watch.rs
+++ b/src/directory/watch.rs
@@ -4,13 +4,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_lite::future;
 
 use super::{Reload, Target};
 use crate::api::Millis;
-use crate::asking::{SILENT_AFTER, WAIT};
+use crate::asking::{CALL, SILENT_AFTER, WAIT};
 use crate::config::Config;
 use crate::core::drive::{Directory, Driver};
 use crate::core::News;
@@ -19,8 +19,6 @@
 use crate::http::write;
 use crate::log::{self, Reason};
 
-/// How long a call that is not to wait may take: the service works through calls in turn.
-const FIRST: Duration = Duration::from_millis(3000);
 const CONNECT: Duration = Duration::from_millis(1000);
 const MOST_LIST: usize = 4 * 1024 * 1024;
 
@@ -98,17 +96,23 @@
     }
 
     async fn call(&self, address: SocketAddr, client: &mut Option<Client>) -> io::Result<List> {
-        // One call both tells what changed and begins the watch: a first one that only asks would be a second
-        // call of each aggregator just when all start.
-        let (target, limit) = match self.index.get() {
-            None => ("/v1/servers".to_string(), FIRST),
-            Some(index) => (format!("/v1/servers?after={index}&wait_ms={WAIT}"), ms(WAIT + SILENT_AFTER)),
-        };
         self.silent.set(false);
+        let begun = Instant::now();
         let mut open = match client.take() {
             Some(open) => open,
             None => Client::connect(address, CONNECT, MOST_LIST).await?,
         };
+        // One call both tells what changed and begins the watch: a first one that only asks would be a second
+        // call of each aggregator just when all start. What connecting took is taken off the wait, so that the call
+        // is over when one on a kept connection would be.
+        let (target, limit) = match self.index.get() {
+            None => ("/v1/servers".to_string(), ms(CALL)),
+            Some(index) => {
+                let wait = (ms(WAIT).saturating_sub(begun.elapsed())).as_millis();
+                (format!("/v1/servers?after={index}&wait_ms={wait}"), ms(WAIT + SILENT_AFTER))
+            }
+        };
+        let limit = limit.saturating_sub(begun.elapsed());
         let request = write::request("GET", &target, &address.to_string(), &[], &[]);
         let call = async {
             open.write(&request).await?;
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -12,7 +12,7 @@
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use aggregator::{answer, line, Aggregator, Answer};
 use serde_json::{json, Value};
@@ -207,6 +207,39 @@
     }
 }
 
+/// A change counts as told 6 s after discovery had it, also where it answered nothing or failed just then, and however
+/// many aggregators ask.
+#[test]
+fn a_change_is_here_in_time_after_a_watch_fell_silent_and_after_calls_failed() {
+    let many = |config: &mut Value, _: &[SocketAddr]| {
+        config["settings"]["balancers"] = json!(300);
+        config["settings"]["rules"] = json!({"ask_every_ms": 600_000.0});
+    };
+    let told_within = Duration::from_millis(6000);
+    let all = [false, true].map(|silent| (silent, Aggregator::changed(Wire::Frames, 2, many)));
+    let begun: Vec<_> = all
+        .iter()
+        .map(|(silent, aggregator)| {
+            let board = &aggregator.board;
+            board.wait("the watch", |state| state.calls > 0);
+            let calls = board.read(|state| state.calls);
+            board.change(|state| if *silent { state.hangs = true } else { state.failures = 3 });
+            board.list(json!([line(0, aggregator.stores[0], "ready", 0)]));
+            if *silent {
+                board.wait("a call that hangs", |state| state.calls > calls);
+                board.change(|state| state.hangs = false);
+            } else {
+                board.wait("the failures", |state| state.failures == 0);
+            }
+            Instant::now()
+        })
+        .collect();
+    for ((silent, aggregator), begun) in all.iter().zip(begun) {
+        aggregator.board.tell(json!([line(0, aggregator.stores[0], "draining", 0)]));
+        assert!(begun.elapsed() < told_within, "silent: {silent}, {:?}", begun.elapsed());
+    }
+}
+
 /// All aggregators of a fleet may start at once: each costs discovery one call then, which asks and watches in one.
 #[test]
 fn the_first_call_to_discovery_is_the_watch() {
