Check a repeat's window as it is written, and answer all that is held before a process is killed

Cause: the module looked at the window when it decided (Repeat::allows); the call then waited for its connection or for room, up to the connect time of 250 ms, and was written whatever the time was (Frames::write, Searches::talk). Ruled out: the module's own clock (the window counts from the decision on the first attempt, before its frame is written). Change: each call carries the end of its window (Call::allowed_until). What is late when its frame could begin ends as not sent, and a frame whose last byte is not out by then ends its connection; the same on the OpenSearch-style wire.

--- a/src/api.rs
+++ b/src/api.rs
@@ -71,10 +71,15 @@
 impl Repeat {
     /// Whether a part may be sent now, the first send of which that may have run was at some time, if there was one.
     pub fn allows(self, may_have_run: Option<Millis>, now: Millis) -> bool {
+        now <= self.allowed_until(may_have_run)
+    }
+
+    /// Until when such a part may be sent.
+    pub fn allowed_until(self, may_have_run: Option<Millis>) -> Millis {
         match (self, may_have_run) {
-            (Repeat::Safe, _) | (_, None) => true,
-            (Repeat::Keyed { window }, Some(first)) => now <= first + window,
-            (Repeat::Unsafe, Some(_)) => false,
+            (Repeat::Safe, _) | (_, None) => Millis::INFINITY,
+            (Repeat::Keyed { window }, Some(first)) => first + window,
+            (Repeat::Unsafe, Some(_)) => Millis::NEG_INFINITY,
         }
     }
 }
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -48,7 +48,7 @@
             }));
             let (shard, weight) = (part.shard, part.weight);
             let record =
-                Part { query: no, shard, weight, attempts: 0, out: 0, may_have_run: false, value: None };
+                Part { query: no, shard, weight, attempts: 0, out: 0, may_have_run: None, value: None };
             self.ledger.parts.insert(part_id.clone(), record);
             parts.push(part_id);
         }
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -109,7 +109,8 @@
         }
     }
 
-    /// Guards the rule on lost queries: what the router still holds when the client's time is up fails.
+    /// Guards the rule on lost queries: what the router still holds when the client's time is up, or the process's, is
+    /// answered from what is in, or else fails. Whoever could wait longer is asked back where that is harmless.
     pub(super) fn end_overdue(&mut self, now: Millis) {
         let overdue: Vec<QueryNo> = self
             .ledger
@@ -121,7 +122,20 @@
         // The router is late itself, and cannot say why any more.
         let cause = if self.ledger.places.is_empty() { Cause::NoList } else { Cause::Overdue };
         for no in overdue {
-            self.close(now, no, Verdict::Failed { retry_after: 0.0, cause });
+            let query = &self.ledger.queries[&no];
+            let class = query.class;
+            let kind = &self.classes.at(class).class;
+            let (pieces, share) = self.ledger.pieces(query);
+            let enough = !pieces.is_empty() && share + SHARE_SLACK >= kind.least_share;
+            let safe = kind.repeat == Repeat::Safe || !self.ledger.may_have_run(query);
+            let verdict = if enough && query.partial {
+                Verdict::Served { whole: false, pieces, parts: query.parts.len() }
+            } else if now >= self.ends && safe {
+                Verdict::Refused { retry_after: self.advice(now, class), cause }
+            } else {
+                Verdict::Failed { retry_after: 0.0, cause }
+            };
+            self.close(now, no, verdict);
             self.inbox.push(Event::ClientGone(Ledger::query_id(no)));
         }
     }
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -262,6 +262,23 @@
         self.core.borrow().longest_deadline()
     }
 
+    /// The process ends after so long: no query, held or still to come, is waited for any longer.
+    pub fn end_by(self: &Rc<Self>, left: Duration) {
+        let at = Instant::now() + left;
+        self.core.borrow_mut().end_by(self.now() + left.as_secs_f64() * 1000.0);
+        let driver = self.clone();
+        let ends = async move {
+            Timer::at(at).await;
+            driver.wake();
+        };
+        self.executor.spawn(ends).detach();
+    }
+
+    /// How long it has been there.
+    pub fn age(&self) -> Millis {
+        self.now() - self.origin.0
+    }
+
     /// Whether queries of a class carry a key.
     pub fn is_keyed(&self, class: &str) -> bool {
         self.core.borrow().is_keyed(class)
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -43,8 +43,8 @@
     pub attempts: u32,
     /// Attempts that are still out.
     pub out: u32,
-    /// Whether an attempt that has ended may have run.
-    pub may_have_run: bool,
+    /// When the first attempt was sent that has ended and may have run.
+    pub may_have_run: Option<Millis>,
     /// Its answer, once it is in.
     pub value: Option<Rc<[u8]>>,
 }
@@ -113,7 +113,7 @@
 
     /// Whether any part of a query may have run or is out.
     pub(super) fn may_have_run(&self, query: &Query) -> bool {
-        let ran = |part: &Part| part.may_have_run || part.out > 0 || part.value.is_some();
+        let ran = |part: &Part| part.may_have_run.is_some() || part.out > 0 || part.value.is_some();
         query.parts.iter().filter_map(|id| self.parts.get(id)).any(ran)
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -158,10 +158,20 @@
     pub shard: u32,
     /// The time at which the core stops waiting.
     pub until: Millis,
+    /// The end of the time in which its class may be repeated, if this is a repeat: it may wait for a connection after
+    /// it was decided on, and its last byte has to be out by then.
+    pub allowed_until: Millis,
     /// What the part carries.
     pub text: Rc<[u8]>,
 }
 
+impl Call {
+    /// Whether it may be begun no more, as its time is over or its class may not be repeated any longer.
+    pub fn is_late(&self, now: Millis) -> bool {
+        now > self.until.min(self.allowed_until)
+    }
+}
+
 /// What a transport reports of a call's end.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CallEnd {
@@ -266,6 +276,8 @@
     held_elsewhere: usize,
     /// How many shards there are, if that is known.
     shards: Option<u32>,
+    /// When the process is to end.
+    ends: Millis,
     probe_timeout: Millis,
     ledger: Ledger,
     hand: Hand,
@@ -300,6 +312,7 @@
             max_open: 0,
             held_elsewhere: 0,
             shards: None,
+            ends: Millis::INFINITY,
             probe_timeout: 0.0,
             ledger: Ledger::default(),
             hand: Hand::default(),
@@ -345,6 +358,12 @@
         self.classes.longest_deadline()
     }
 
+    /// The process ends at some time, and no query outlives it.
+    pub fn end_by(&mut self, at: Millis) {
+        self.ends = at;
+        self.ledger.queries.values_mut().for_each(|query| query.deadline = query.deadline.min(at));
+    }
+
     /// Whether queries of a class carry a key, without which no part of theirs may reach a run store.
     pub fn is_keyed(&self, class: &str) -> bool {
         let at = self.classes.named(class);
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -11,7 +11,9 @@
         self.counters.ended(end.outcome);
         if let Some(part) = self.ledger.parts.get_mut(&out.part) {
             part.out -= 1;
-            part.may_have_run |= !end.outcome.never_ran();
+            if !end.outcome.never_ran() {
+                part.may_have_run = Some(part.may_have_run.map_or(out.sent, |at| at.min(out.sent)));
+            }
             if end.outcome == Outcome::Completed && part.value.is_none() {
                 part.value = end.value;
             }
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -11,7 +11,7 @@
         let attempt = Attempt(record.attempts);
         record.attempts += 1;
         record.out += 1;
-        let (of, shard) = (record.query, record.shard);
+        let (of, shard, ran) = (record.query, record.shard, record.may_have_run);
         let no = CallNo(self.ledger.number());
         let out = Out { part: part.clone(), attempt, replica: replica.clone(), sent: now };
         self.ledger.out.insert(no, out);
@@ -23,6 +23,7 @@
         };
         self.counters.sent += 1;
         let until = (now + timeout).min(query.deadline);
+        let repeat = self.classes.at(query.class).class.repeat;
         self.orders.push_back(Order::Send(Call {
             no,
             replica,
@@ -33,6 +34,7 @@
             key: query.key.clone(),
             shard,
             until,
+            allowed_until: repeat.allowed_until(ran),
             text: query.text.clone(),
         }));
     }
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -26,7 +26,7 @@
         }
         let most = self.classes.at(class).deadline;
         // No client waits longer than its class's give-up time; a longer wish would only hold memory.
-        let deadline = now + ask.timeout.unwrap_or(most).min(most);
+        let deadline = (now + ask.timeout.unwrap_or(most).min(most)).min(self.ends);
         let no = QueryNo(self.ledger.number());
         self.counters.taken += 1;
         self.admit(now, no, class, deadline, ask);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod opensearch;
 pub mod platform;
 
+use crate::asking::TOLD_WITHIN;
 use crate::core::drive::Driver;
 use crate::http::door::Door;
 use crate::http::parse::Headers;
@@ -27,10 +28,13 @@
 }
 
 /// The answer to the layer in front of the aggregators, which asks whether to send clients here.
+///
+/// A list that has not come by the time in which all changes are here may not come for long: clients are then better
+/// refused with advice than kept from an aggregator that serves as soon as it is told.
 fn health(door: &Door, driver: &Driver) -> Response {
     if !door.takes_clients() {
         Response::text(503, "draining")
-    } else if driver.run_stores() == 0 {
+    } else if driver.run_stores() == 0 && driver.age() < TOLD_WITHIN {
         Response::text(503, "no run store is listed yet")
     } else {
         Response::text(200, "ready")
--- a/src/http/parse.rs
+++ b/src/http/parse.rs
@@ -31,6 +31,8 @@
     BodyTooLong,
     /// The rest of the request did not come in time.
     TooSlow,
+    /// More came behind a request, before its answer, than any request holds.
+    Flood,
 }
 
 impl Bad {
@@ -38,7 +40,7 @@
     pub fn status(self) -> u16 {
         match self {
             Bad::HeadTooLong => 431,
-            Bad::BodyTooLong => 413,
+            Bad::BodyTooLong | Bad::Flood => 413,
             Bad::Coding => 501,
             Bad::Version => 505,
             Bad::TooSlow => 408,
@@ -59,6 +61,7 @@
             Bad::Chunk => "a chunk of the body is malformed",
             Bad::BodyTooLong => "the body is too long",
             Bad::TooSlow => "the request did not come in time",
+            Bad::Flood => "too much was sent behind a request that is not answered yet",
         })
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -154,23 +154,42 @@
     /// Accepts connections for good.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            // An accepted connection that is dropped unanswered would be a lost query. What is over the
-            // limit waits in the listener's queue instead; refusals are brief, so room comes soon.
-            while self.open.get() >= self.room.get() + self.room.get() / 8 {
-                let _ = self.ended.1.recv().await;
+            self.has_room().await;
+            self.take(listener.accept().await).await;
+        }
+    }
+
+    /// Accepts what has come by now: what waits in the listener's queue would be reset with it.
+    pub async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
+        loop {
+            self.has_room().await;
+            match future::poll_once(listener.accept()).await {
+                Some(came) => self.take(came).await,
+                None => return,
             }
-            match listener.accept().await {
-                Ok((stream, peer)) => {
-                    self.welcome(stream, peer);
-                    // Its first bytes are looked at before the next connection may push it out.
-                    future::yield_now().await;
-                }
-                // No descriptor is left: connections wait in the queue until one is.
-                Err(error) => {
-                    log::line(&format!("accept failed: {error}"));
-                    self.close_longest_idle();
-                    Timer::after(ACCEPT_PAUSE).await;
-                }
+        }
+    }
+
+    /// An accepted connection that is dropped unanswered would be a lost query. What is over the limit waits in
+    /// the listener's queue instead; refusals are brief, so room comes soon.
+    async fn has_room(&self) {
+        while self.open.get() >= self.room.get() + self.room.get() / 8 {
+            let _ = self.ended.1.recv().await;
+        }
+    }
+
+    async fn take(self: &Rc<Self>, came: io::Result<(TcpStream, SocketAddr)>) {
+        match came {
+            Ok((stream, peer)) => {
+                self.welcome(stream, peer);
+                // Its first bytes are looked at before the next connection may push it out.
+                future::yield_now().await;
+            }
+            // No descriptor is left: connections wait in the queue until one is.
+            Err(error) => {
+                log::line(&format!("accept failed: {error}"));
+                self.close_longest_idle();
+                Timer::after(ACCEPT_PAUSE).await;
             }
         }
     }
@@ -206,6 +225,8 @@
     }
 
     fn welcome(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        // From its first write on: what the system holds back goes with a connection that is reset.
+        let _ = stream.set_nodelay(true);
         let refused = self.open.get() >= self.room.get() && !self.close_longest_idle();
         self.open.set(self.open.get() + 1);
         let server = self.clone();
@@ -245,25 +266,22 @@
 
 impl Connection<'_> {
     async fn serve(&mut self) -> io::Result<Reason> {
-        self.stream.set_nodelay(true)?;
         let mut parser = Parser::new(Kind::Request);
         loop {
             let request = match self.next(&mut parser).await? {
                 Next::Request(request) => request,
                 Next::End(reason) => return Ok(reason),
-                Next::Bad(bad) => {
-                    let response = self.server.handler.bad(bad);
-                    self.write(&response.bytes(false, true)).await?;
-                    self.linger().await;
-                    return Ok(if bad == Bad::TooSlow { Reason::TooSlow } else { Reason::Malformed });
-                }
+                Next::Bad(bad) => return self.turn_down(bad).await,
             };
             self.requests += 1;
             let (keep_alive, body) = (request.keep_alive, request.start.0 != "HEAD");
             let answer = self.server.handler.handle(request);
-            let gone = watch(&mut self.stream, &mut parser);
-            let Some(response) = future::or(async { Some(answer.await) }, gone).await else {
-                return Ok(Reason::ClientGone);
+            let left = watch(&mut self.stream, &mut parser);
+            let answer = future::or(async { Ok(answer.await) }, async { Err(left.await) }).await;
+            let response = match answer {
+                Ok(response) => response,
+                Err(Left::Gone) => return Ok(Reason::ClientGone),
+                Err(Left::Flooding) => return self.turn_down(Bad::Flood).await,
             };
             let open = self.server.door.is_open();
             let keep_alive = keep_alive && open && self.server.limits.keep;
@@ -279,6 +297,14 @@
         }
     }
 
+    /// Answers what cannot be read, and ends the connection, as framing is lost.
+    async fn turn_down(&mut self, bad: Bad) -> io::Result<Reason> {
+        let response = self.server.handler.bad(bad);
+        self.write(&response.bytes(false, true)).await?;
+        self.linger().await;
+        Ok(if bad == Bad::TooSlow { Reason::TooSlow } else { Reason::Malformed })
+    }
+
     async fn refuse(&mut self) -> Reason {
         let response = self.server.handler.full();
         let _ = self.write(&response.bytes(false, true)).await;
@@ -378,14 +404,24 @@
     }
 }
 
+/// How a client leaves that waits for an answer.
+enum Left {
+    Gone,
+    /// It sends more than any request holds, so that its end could not be seen behind that.
+    Flooding,
+}
+
 /// Ends when the client leaves. What it sends meanwhile waits in the parser, up to a whole request.
-async fn watch(stream: &mut TcpStream, parser: &mut Parser) -> Option<Response> {
+///
+/// A client that ends its own side alone has left as well: the protocol has no use for half a connection, and one
+/// that is gone looks the same until something is written to it.
+async fn watch(stream: &mut TcpStream, parser: &mut Parser) -> Left {
     let mut bytes = [0; 4096];
     while parser.buffered() <= MOST_BODY {
         match stream.read(&mut bytes).await {
-            Ok(0) | Err(_) => return None,
+            Ok(0) | Err(_) => return Left::Gone,
             Ok(count) => parser.push(&bytes[..count]),
         }
     }
-    future::pending().await
+    Left::Flooding
 }
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -5,7 +5,7 @@
 
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -22,8 +22,12 @@
 
 /// After SIGTERM, new connections still come for a while beyond the time for idle ones.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(250);
-/// Beyond the longest deadline, what is left to do is not waited for.
+/// The platform kills what has not ended after the longest deadline, of which it counts so much at most, and 0.7 s more.
+const MOST_COUNTED: Duration = Duration::from_millis(3000);
+/// Beyond that deadline, what is left to do is not waited for.
 const LAST_WAIT: Duration = Duration::from_millis(600);
+/// The part of it in which last answers are written.
+const LAST_WRITE: Duration = Duration::from_millis(100);
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
 /// Runs an aggregator by the configuration in a file until SIGTERM or SIGINT, and then to its orderly end.
@@ -70,15 +74,19 @@
     // Planned end: go on accepting, answer everything, then leave.
     log::line("draining");
     program.door.leave();
+    let left = span(program.driver.longest_deadline()).min(MOST_COUNTED) + LAST_WAIT;
+    let end = Instant::now() + left;
+    // Whatever is taken, now or later, is answered before.
+    program.driver.end_by(left - LAST_WRITE);
     let drained = async {
         Timer::after(KEEP_IDLE + KEEP_ACCEPTING).await;
-        program.close();
+        program.close().await;
         while !program.is_done() {
             Timer::after(LOOK_EVERY).await;
         }
     };
     let last = async {
-        Timer::after(span(program.driver.longest_deadline()) + LAST_WAIT).await;
+        Timer::at(end).await;
     };
     let signals = async {
         loop {
--- a/src/service/program.rs
+++ b/src/service/program.rs
@@ -149,10 +149,14 @@
         }
     }
 
-    /// Accepts no more, and listens no more.
-    pub fn close(&self) {
-        drop(self.accepting.take());
-        drop(self.listener.take());
+    /// Takes in what has connected by now, and then accepts no more and listens no more. Where another process has
+    /// the same socket, what waits there is its own.
+    pub async fn close(&self) {
+        let (accepting, listener) = (self.accepting.take(), self.listener.take());
+        if let (Some(accepting), Some(listener)) = (accepting, listener) {
+            drop(accepting);
+            self.server.accept_rest(&listener).await;
+        }
     }
 
     /// Ends the recording, and waits a moment for the disk.
--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::codec::{self, End, Frame, Part};
-use crate::api::{LoadReport, Outcome};
+use crate::api::{LoadReport, Millis, Outcome};
 use crate::core::{Call, CallEnd, CallNo};
 
 /// Ids of parts that are over which are remembered, so that a late or second answer is known from a spoilt one.
@@ -179,6 +179,14 @@
         self.queue.push_back(Item::Probe(no));
     }
 
+    /// Takes back the calls that have not begun to be written and may not begin any more: they waited for too long.
+    pub fn expire(&mut self, now: Millis) -> Vec<Ended> {
+        let late = |held: &Held| held.stage == Stage::Queued && held.call.is_late(now);
+        let nos: Vec<CallNo> = self.calls.iter().filter(|(_, held)| late(held)).map(|(no, _)| *no).collect();
+        self.queue.retain(|item| !matches!(item, Item::Call(no) if nos.contains(no)));
+        nos.into_iter().map(|no| self.end(no, Outcome::NotSent)).collect()
+    }
+
     /// The next frame to write. It counts as being written until [`Link::written`].
     pub fn next_frame(&mut self, wait: impl Fn(&Call) -> u64) -> Option<Vec<u8>> {
         let first = self.queue.pop_front()?;
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -20,7 +20,7 @@
 use crate::core::{Call, CallEnd, CallNo};
 use crate::log::{self, Reason};
 use crate::settings::Info;
-use crate::transport::{At, Limits};
+use crate::transport::{span, At, Limits};
 use link::{Ended, Link};
 
 /// The longest a frame may take to be written. A run store that reads nothing for so long is no use.
@@ -272,12 +272,17 @@
     async fn write(&self, mut stream: TcpStream, connection: &Connection) -> io::Result<Reason> {
         let wait = |call: &Call| (call.until - self.driver.now()).max(1.0) as u64;
         loop {
+            let begun = self.driver.now();
+            let expired = connection.link.borrow_mut().expire(begun);
+            self.report(expired);
             let frame = connection.link.borrow_mut().next_frame(wait);
             if let Some(frame) = frame {
-                let begun = self.driver.now();
                 let written = async { stream.write_all(&frame).await.map(|()| true) };
+                // What is late for the frame's last byte is late for the part: it counts from there on.
+                let by = connection.link.borrow().writing().map(|call| call.allowed_until).reduce(f64::min);
+                let by = by.map_or(WRITE_LIMIT, |by| span(by - begun).min(WRITE_LIMIT));
                 let limit = async {
-                    Timer::after(WRITE_LIMIT).await;
+                    Timer::after(by).await;
                     Ok(false)
                 };
                 // A frame that is written in half spoils the connection.
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -17,12 +17,12 @@
 use crate::api::{Millis, Outcome, ReplicaId};
 use crate::core::drive::{Driver, RunStores};
 use crate::core::{Call, CallEnd, CallNo};
-use crate::http::client::Client;
+use crate::http::client::{within, Client};
 use crate::http::parse::Message;
 use crate::http::write;
 use crate::log::{self, Reason};
 use crate::settings::Info;
-use crate::transport::{At, Limits};
+use crate::transport::{span, At, Limits};
 use answer::Found;
 
 /// Connections to one run store at once; more searches wait for one of these.
@@ -262,6 +262,13 @@
                     return reason;
                 }
             };
+            if let Job::Search(call) = &job {
+                if call.is_late(self.driver.now()) {
+                    worker.stage.set(Stage::Idle);
+                    self.end(&job, Outcome::NotSent);
+                    continue;
+                }
+            }
             let answer = self.carry_out(&mut client, &job, address, worker).await;
             worker.stage.set(match worker.stage.get() {
                 Stage::Written(_) if answer.is_ok() => Stage::Idle,
@@ -312,7 +319,11 @@
             }
         };
         let begun = self.driver.now();
-        let written = client.write(&request).await;
+        let limit = match job {
+            Job::Search(call) => span(call.allowed_until - begun),
+            Job::Probe(_) => self.limits.get().connect,
+        };
+        let written = within(limit, client.write(&request)).await;
         if let Job::Search(call) = job {
             self.driver.progress(call, begun, written.is_ok());
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -198,3 +198,63 @@
     core.step(520.0);
     assert_eq!(watches(&mut core), 0);
 }
+
+#[test]
+fn a_repeat_of_a_keyed_class_carries_the_end_of_its_window_and_no_other_call_has_one() {
+    let class = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 1000.0, "deadline_ms": 4000.0, "repeat": repeat, "window_ms": 300.0});
+    let info: Info = serde_json::from_value(json!({
+        "caps": {"max_attempts": 3, "may_cancel": true},
+        "domain": {"cells": 1, "width": 1, "shards": 9},
+        "request_classes": [class("keyed", "idempotency_key"), class("safe", "read_like")],
+        "tick_ms": 5.0,
+    }))
+    .unwrap();
+    for name in ["keyed", "safe"] {
+        let mut core = Core::new(&info, 7).unwrap();
+        core.take_news(News::Cached(vec![
+            listed("a", ReplicaState::Active),
+            listed("b", ReplicaState::Active),
+        ]));
+        core.step(0.0);
+        core.take_in(1.0, Ask { key: Some("k".into()), ..ask(name, 1) }).unwrap();
+        core.step(5.0);
+        let first = calls(&orders(&mut core));
+        assert_eq!(first[0].allowed_until, f64::INFINITY, "{name}: nothing has run yet");
+        core.call_ended(50.0, first[0].no, CallEnd::bare(Outcome::Rejected));
+        core.step(55.0);
+        let second = calls(&orders(&mut core));
+        assert_eq!(second[0].allowed_until, f64::INFINITY, "{name}: what was turned away has not run");
+        core.call_ended(60.0, second[0].no, CallEnd::bare(Outcome::Errored));
+        // The window is counted from the first attempt that may have run.
+        core.step(65.0);
+        let third = calls(&orders(&mut core));
+        assert_eq!(third[0].allowed_until, if name == "keyed" { 355.0 } else { f64::INFINITY }, "{name}");
+    }
+}
+
+#[test]
+fn no_query_outlives_the_process_and_what_is_in_is_answered() {
+    let mut core = core(100);
+    let both = core.take_in(1.0, ask("search", 2)).unwrap();
+    let none = core.take_in(1.0, ask("search", 1)).unwrap();
+    let entry = core.take_in(1.0, ask("entry", 1)).unwrap();
+    core.step(5.0);
+    let sent = calls(&orders(&mut core));
+    let of = |no| sent.iter().find(|call| call.of.0 == no).unwrap().no;
+    core.end_by(300.0);
+    core.call_ended(20.0, of(both), served(b"in"));
+    core.step(25.0);
+    let late = core.take_in(100.0, ask("search", 1)).unwrap();
+    core.step(105.0);
+    assert!(finals(&orders(&mut core)).is_empty());
+    core.step(300.0);
+    let verdicts = finals(&orders(&mut core));
+    let of = |no| &verdicts.iter().find(|(query, _)| *query == no).unwrap().1;
+    assert!(matches!(of(both), Verdict::Served { whole: false, parts: 2, .. }), "{verdicts:?}");
+    assert!(matches!(of(none), Verdict::Refused { retry_after, .. } if *retry_after > 0.0), "{verdicts:?}");
+    assert!(matches!(of(late), Verdict::Refused { .. }), "{verdicts:?}");
+    assert!(matches!(of(entry), Verdict::Failed { .. }), "{verdicts:?}: it may have run");
+    // What comes even later is turned away at once.
+    core.take_in(301.0, ask("search", 1)).unwrap();
+    assert!(matches!(finals(&orders(&mut core))[..], [(_, Verdict::Refused { .. })]));
+}
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -45,7 +45,8 @@
         of: (ironpaddle::core::QueryNo(no), 0),
         key: None,
         shard: 0,
-        until: 0.0,
+        until: 1e9,
+        allowed_until: f64::INFINITY,
         text: Rc::from(&b"text"[..]),
     }
 }
--- a/tests/sockets/aggregator.rs
+++ b/tests/sockets/aggregator.rs
@@ -290,6 +290,11 @@
         config.to_string()
     }
 
+    /// Descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod aggregator;
 mod calls;
 mod keys;
+mod narrow;
 mod operator;
 mod settings;
 mod stand_in;
--- /dev/null
+++ b/tests/sockets/narrow.rs
@@ -0,0 +1,178 @@
+//! The narrow moments: departures, floods, the end of a process, and a discovery that is down.
+
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::aggregator::{answer, line, Aggregator};
+use crate::stand_in::{Act, Wire, WIRES};
+
+/// How long the platform waits after SIGTERM before it kills, for classes with deadlines over 3 s.
+const KILLED_AFTER: Duration = Duration::from_millis(3700);
+
+/// On both wires side by side, as it takes its time.
+fn on_both(test: fn(Wire)) {
+    std::thread::scope(|scope| {
+        for wire in WIRES {
+            scope.spawn(move || test(wire));
+        }
+    });
+}
+
+fn asks_health(aggregator: &Aggregator) -> u16 {
+    let mut stream = aggregator.connect();
+    stream.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+    answer(&mut stream).status
+}
+
+#[test]
+fn a_client_that_floods_behind_its_request_is_turned_down_and_its_parts_are_called_back() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Silent);
+        let mut client = aggregator.begin("run-lookup", &[0], 9000);
+        aggregator.board.wait("the part", |state| state.parts.len() == 1);
+        client.write_all(&vec![b'x'; 200_000]).unwrap();
+        assert_eq!(answer(&mut client).status, 413, "{wire:?}");
+        aggregator.board.wait("the part to be given up", |state| state.given_up == [0]);
+        aggregator.logged("code=malformed");
+    }
+}
+
+#[test]
+fn what_is_sent_behind_a_request_does_not_hide_that_its_client_left() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Silent);
+        let mut client = aggregator.begin("run-lookup", &[0], 9000);
+        aggregator.board.wait("the part", |state| state.parts.len() == 1);
+        client.write_all(b"POST /run-lookup HTTP/1.1\r\nX-Requ").unwrap();
+        drop(client);
+        aggregator.board.wait("the part to be given up", |state| state.given_up == [0]);
+        aggregator.logged("code=client_gone");
+    }
+}
+
+/// It stands still while clients come, ask and leave: their ends lie behind their requests when these are read.
+#[test]
+fn nothing_is_sent_on_for_clients_that_left_before_their_requests_were_read() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.signal("STOP");
+        for shard in 0..4 {
+            drop(aggregator.begin("run-lookup", &[shard], 9000));
+        }
+        let mut half = aggregator.begin("run-lookup", &[0], 9000);
+        half.shutdown(std::net::Shutdown::Write).unwrap();
+        let mut stays = aggregator.begin("run-search", &[3], 9000);
+        aggregator.signal("CONT");
+        assert!(answer(&mut stays).whole(), "{wire:?}");
+        // One that ended its own side alone has left as well.
+        assert_eq!(half.read(&mut [0]).unwrap(), 0, "{wire:?}");
+        assert_eq!(aggregator.board.read(|state| state.parts.clone()), [(0, 3)], "{wire:?}");
+    }
+}
+
+#[test]
+fn whatever_comes_in_a_drain_is_answered_before_the_process_may_be_killed() {
+    let drained = |wire: Wire| {
+        let mut aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Silent);
+        let mut kept = aggregator.connect();
+        let (head, tail) = match wire {
+            Wire::Frames => (
+                "POST /run-lookup HTTP/1.1\r\nX-Request-ID: kept\r\nX-Timeout: 9000m\r\nContent-Length: 46\r\n\r\n",
+                "{\"slices\":[{\"slice\":2,\"mass\":1}],\"filter\":\"0\"}",
+            ),
+            Wire::OpenSearch => ("POST /run-lookup/_search?preference=_shards:2 HTTP/1.1\r\nContent-Length: 2\r\n\r\n", "{}"),
+        };
+        kept.write_all(head.as_bytes()).unwrap();
+        let mut unsafe_one = aggregator.begin("shift-entry", &[0], 9000);
+        let mut safe = aggregator.begin("run-lookup", &[1], 9000);
+        aggregator.board.wait("the parts", |state| state.parts.len() == 2);
+        let told = Instant::now();
+        aggregator.signal("TERM");
+        aggregator.logged("draining");
+        // Neither a second one nor a reload changes that.
+        aggregator.signal("TERM");
+        aggregator.reload(&aggregator.configuration(|_| {}));
+        aggregator.logged("reload: done");
+        // It had begun before, and is whole more than 0.7 s after.
+        std::thread::sleep(Duration::from_millis(900).saturating_sub(told.elapsed()));
+        kept.write_all(tail.as_bytes()).unwrap();
+        assert_eq!(answer(&mut unsafe_one).status, 500, "{wire:?}: it may have run");
+        for client in [&mut safe, &mut kept] {
+            let answer = answer(client);
+            assert!(answer.status >= 429 && answer.head.contains("retry-after"), "{wire:?}: {answer:?}");
+        }
+        assert_eq!(aggregator.wait().code(), Some(0), "{wire:?}");
+        assert!(told.elapsed() < KILLED_AFTER, "{wire:?}: {:?}", told.elapsed());
+    };
+    on_both(drained);
+}
+
+/// Clients hold all the room when the end is told, and more wait in the listener's queue.
+#[test]
+fn what_waits_in_the_queue_of_a_process_that_ends_is_answered() {
+    let drained = |wire: Wire| {
+        let mut aggregator =
+            Aggregator::changed(wire, 1, |config, _| config["limits"]["sockets"] = json!(128));
+        aggregator.board.act(0, Act::Silent);
+        // There is room for 42 of them, and for six to be told that there is none.
+        let mut held: Vec<_> = (0..42).map(|n| aggregator.begin("run-lookup", &[n % 4], 2500)).collect();
+        while !aggregator.call("GET", "/stats").body.contains("aggregator.active:42|g") {}
+        let refused: Vec<_> = (0..6).map(|_| aggregator.connect()).collect();
+        let mut queued: Vec<_> = (0..8).map(|n| aggregator.begin("run-lookup", &[n % 4], 9000)).collect();
+        aggregator.signal("TERM");
+        aggregator.logged("draining");
+        held.drain(..).for_each(|mut client| assert!(answer(&mut client).status >= 200, "{wire:?}"));
+        drop(refused);
+        for client in &mut queued {
+            assert!(answer(client).status >= 200, "{wire:?}");
+        }
+        drop(queued);
+        assert_eq!(aggregator.wait().code(), Some(0), "{wire:?}");
+    };
+    on_both(drained);
+}
+
+#[test]
+fn a_start_without_any_list_is_ready_in_time_and_refuses_until_it_is_told() {
+    let starts = |wire: Wire| {
+        let aggregator = Aggregator::changed(wire, 1, |config, _| {
+            config["known"] = json!({"index": 0, "snapshot": true, "endpoints": []});
+            // Nobody listens there.
+            config["discovery"] = json!("127.0.0.1:1");
+        });
+        let started = Instant::now();
+        assert_eq!(asks_health(&aggregator), 503, "{wire:?}: a list may be here soon");
+        while asks_health(&aggregator) != 200 {
+            assert!(started.elapsed() < Duration::from_secs(10), "{wire:?}: nine in ten are ready by then");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let refused = aggregator.ask("run-lookup", &[0], 300);
+        assert!(refused.refused() && refused.head.contains("retry-after"), "{wire:?}: {refused:?}");
+    };
+    on_both(starts);
+}
+
+#[test]
+fn idle_clients_in_every_place_keep_neither_discovery_nor_sound_clients_out() {
+    for wire in WIRES {
+        let aggregator = Aggregator::changed(wire, 2, |config, _| config["limits"]["sockets"] = json!(128));
+        aggregator.board.change(|state| state.failures = 4);
+        aggregator.board.list(json!([line(0, aggregator.stores[0], "ready", 0)]));
+        let idle: Vec<_> = (0..200).map(|_| aggregator.connect()).collect();
+        aggregator.board.wait("the failures", |state| state.failures == 0);
+        assert!(aggregator.descriptors() <= 128, "{wire:?}: {}", aggregator.descriptors());
+        aggregator.board.tell(json!([line(0, aggregator.stores[0], "draining", 0)]));
+        for shard in 0..4 {
+            assert!(aggregator.ask("run-lookup", &[shard], 9000).whole(), "{wire:?}");
+        }
+        let used = aggregator.board.read(|state| state.parts.iter().map(|part| part.0).collect::<Vec<_>>());
+        assert_eq!(used, [1; 4], "{wire:?}: what was told counts");
+        assert!(aggregator.descriptors() <= 128, "{wire:?}: {}", aggregator.descriptors());
+        drop(idle);
+    }
+}
