Refuse a faulty configuration by its key and line, and each setting that contradicts itself by its own key

Cause: only what the JSON reader itself refused had a line, and within `settings`, which is read by itself, that line was counted from the start of `settings` ("key settings.request_classes[0].aim_ms: ... at line 2 column 44" stood on line 4). Settings out of range were told as "key settings: tick and every aim must be above 0"; windows below 0, shares of the answer above 1 and negative limits of rules were taken as they are. Change: Config::load finds the line of the key that a message names; each setting with a range is checked under its own key. Limits of zero that can be used are used.

--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,7 @@
 //!
 //! The file is JSON, named by `GW_CONFIG` or by the first argument. Messages name the faulty key.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::{env, fs};
@@ -179,7 +180,8 @@
     /// Says which key is at fault.
     pub fn load(path: &Path) -> Result<Self, String> {
         let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        let mut config = Config::parse(&text).map_err(|why| format!("{}: {why}", path.display()))?;
+        let mut config =
+            Config::parse(&text).map_err(|why| format!("{}: {}", path.display(), with_line(&text, why)))?;
         if let (None, Ok(address)) = (config.operator, env::var("GW_OPERATOR")) {
             let address = address.parse().map_err(|_| format!("key GW_OPERATOR: {address} is no address"))?;
             config.operator = Some(address);
@@ -287,20 +289,44 @@
             return Err("key settings.domain.class_fetch: a second step is not spoken on sockets".into());
         }
         for (at, class) in info.request_classes.iter().enumerate() {
-            if class.deadline_ms() <= 0.0 {
-                return Err(format!("key settings.request_classes[{at}].deadline_ms: must be above 0"));
+            for (key, sound) in [
+                ("aim_ms", class.aim_ms > 0.0),
+                ("deadline_ms", class.deadline_ms() > 0.0),
+                ("window_ms", class.window_ms.is_none_or(|window| window >= 0.0)),
+                ("value", class.value.is_none_or(|value| value >= 0.0)),
+            ] {
+                if !sound {
+                    return Err(format!("key settings.request_classes[{at}].{key}: is out of range"));
+                }
             }
         }
-        let caps = &info.caps;
+        let (caps, domain, rules) = (&info.caps, &info.domain, &info.rules);
+        let sound = |value: Option<f64>| value.is_none_or(|value| value >= 0.0);
+        // Sums of weights may be a little off.
+        let share = |shares: &[f64]| shares.iter().all(|share| (0.0..=1.001).contains(share));
         for (key, sound) in [
-            ("connect_timeout_ms", caps.connect_timeout_ms() > 0.0),
-            ("keepalive_ms", caps.keepalive_ms() > 0.0),
-            ("max_open", caps.max_open() > 0),
-            ("streams_per_conn", caps.streams_per_conn() > 0),
-            ("max_retry_after_ms", caps.max_retry_after_ms >= 0.0),
+            ("caps.connect_timeout_ms", caps.connect_timeout_ms() > 0.0),
+            ("caps.keepalive_ms", caps.keepalive_ms() > 0.0),
+            ("caps.max_attempts", caps.max_attempts() > 0),
+            ("caps.max_open", caps.max_open() > 0),
+            ("caps.streams_per_conn", caps.streams_per_conn() > 0),
+            ("caps.max_retry_after_ms", caps.max_retry_after_ms >= 0.0),
+            ("domain.cells", domain.cells > 0),
+            ("domain.width", (1..=domain.cells.max(1)).contains(&domain.width)),
+            ("domain.bundle_max", domain.bundle_max() > 0),
+            ("domain.least_share", share(&domain.least_share)),
+            ("domain.complete_from", share(&domain.complete_from)),
+            ("rules.ask_every_ms", sound(rules.ask_every_ms)),
+            ("rules.cold_from", sound(rules.cold_from)),
+            ("rules.warm_within_ms", sound(rules.warm_within_ms)),
+            ("rules.fall_multiple", sound(rules.fall_multiple)),
+            ("rules.overload_for_ms", sound(rules.overload_for_ms)),
+            ("rules.resend_span_ms", sound(rules.resend_span_ms)),
+            ("balancers", info.balancers != Some(0)),
+            ("tick_ms", info.tick_ms.is_none_or(|tick| tick > 0.0)),
         ] {
             if !sound {
-                return Err(format!("key settings.caps.{key}: is out of range"));
+                return Err(format!("key settings.{key}: is out of range"));
             }
         }
         info.settings().check().map_err(|why| format!("key settings: {why}"))?;
@@ -364,6 +390,34 @@
     }
 }
 
+/// A message with the line of the key that it names. Within `settings`, which is read by itself, the reader counts lines
+/// from its first one.
+fn with_line(text: &str, why: String) -> String {
+    let named = why.strip_prefix("key ").and_then(|rest| rest.split_once(": "));
+    let Some((line, (key, what))) = named.and_then(|named| Some((line_of(text, named.0)?, named))) else {
+        return why;
+    };
+    let what = what.rsplit_once(" at line ").map_or(what, |(what, _)| what);
+    format!("key {key}: {what} (line {line})")
+}
+
+/// The line on which the value of a key stands, or of the last that is there on the way to it.
+fn line_of(text: &str, key: &str) -> Option<usize> {
+    let mut value: &RawValue = serde_json::from_str(text).ok()?;
+    for step in key.split(['.', '[']).map(|step| step.trim_end_matches(']')).filter(|step| !step.is_empty()) {
+        let keys = serde_json::from_str::<BTreeMap<String, &RawValue>>(value.get());
+        let entries = || serde_json::from_str::<Vec<&RawValue>>(value.get()).ok();
+        let next = match keys {
+            Ok(keys) => keys.get(step).copied(),
+            Err(_) => entries().and_then(|entries| entries.get(step.parse::<usize>().ok()?).copied()),
+        };
+        let Some(next) = next else { break };
+        value = next;
+    }
+    let before = text.get(..value.get().as_ptr() as usize - text.as_ptr() as usize)?;
+    Some(before.matches('\n').count() + 1)
+}
+
 fn read<'a, T: Deserialize<'a>>(text: &'a str, under: &str) -> Result<T, String> {
     let mut json = serde_json::Deserializer::from_str(text);
     serde_path_to_error::deserialize(&mut json)
