Move the tests of 23 source files into test files beside their units, unchanged

Cause: tests stood inside source files. Change: each module of tests is a file `tests.rs` beside its unit, as it needs private items: moved whole, the indentation less a step, one path of an included file corrected. No assertion is changed.

--- a/crates/lab/src/links.rs
+++ b/crates/lab/src/links.rs
@@ -129,44 +129,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A server that gives back what it gets.
-    fn echo() -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                thread::spawn(move || {
-                    let mut bytes = [0; 64];
-                    while let Ok(count @ 1..) = (&stream).read(&mut bytes) {
-                        (&stream).write_all(&bytes[..count]).unwrap();
-                    }
-                });
-            }
-        });
-        address
-    }
-
-    #[test]
-    fn what_a_cut_holds_comes_through_once_it_is_whole_and_a_reset_ends_connections() {
-        let (link, address) = Link::start(echo(), |_| ()).unwrap();
-        let mut stream = TcpStream::connect(address).unwrap();
-        let mut bytes = [0; 4];
-        stream.write_all(b"here").unwrap();
-        stream.read_exact(&mut bytes).unwrap();
-        assert_eq!(&bytes, b"here");
-        // Towards the server all passes, and nothing comes back.
-        link.turn(Weather { cut: [false, true], delay_ms: 0.0 });
-        stream.write_all(b"then").unwrap();
-        stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
-        assert!(stream.read_exact(&mut bytes).is_err(), "it is cut");
-        stream.set_read_timeout(None).unwrap();
-        link.turn(Weather::default());
-        stream.read_exact(&mut bytes).unwrap();
-        assert_eq!(&bytes, b"then");
-        link.reset();
-        assert_eq!(stream.read(&mut bytes).unwrap_or(0), 0);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/repeats/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+/// Repeats that so many routers send in a second in which each would repeat all it may, after a long calm, with so
+/// many parts taken by each.
+fn at_once(routers: u32, parts: u32) -> u32 {
+    let mut all = vec![Repeats::default(); routers as usize];
+    let mut sent = 0;
+    for router in &mut all {
+        (0..100).for_each(|_| router.earn(routers, 1));
+        for part in 0..parts + 100 {
+            if part < parts {
+                router.earn(routers, 1);
+            }
+            while router.allows() {
+                router.spend(routers);
+                sent += 1;
+            }
+        }
+    }
+    sent
+}
+
+#[test]
+fn the_parts_of_all_routers_add_up_to_one_budget() {
+    for routers in [1, 3, 10, 40] {
+        let budget = SAVED * f64::from(routers.min(4)) + RATIO * f64::from(routers * 300);
+        assert!(f64::from(at_once(routers, 300)) <= budget + 0.5, "{routers}: {}", at_once(routers, 300));
+    }
+    // Each of three hundred may repeat one part, and what it earns.
+    assert!(at_once(300, 10) <= 600, "{}", at_once(300, 10));
+}
+
+#[test]
+fn a_bad_moment_is_paid_for_by_as_much_as_may_be_saved_and_no_more() {
+    let mut router = Repeats::default();
+    (0..1000).for_each(|_| router.spend(1));
+    assert!(!router.allows());
+    (0..=((SAVED + 1.0) / RATIO) as u32).for_each(|_| router.earn(1, 1));
+    assert!(router.allows());
+}
+
+#[test]
+fn what_a_query_of_many_parts_earns_is_there_for_it() {
+    let mut router = Repeats::default();
+    (0..20).for_each(|_| router.spend(300));
+    (1..=60).for_each(|parts| router.earn(300, parts));
+    let mut sent = 0;
+    while router.allows() {
+        router.spend(300);
+        sent += 1;
+    }
+    assert!((4..=5).contains(&sent), "a tenth of sixty, less a debt of one: {sent}");
+}
--- /dev/null
+++ b/src/store/tests.rs
@@ -0,0 +1,31 @@
+use super::*;
+
+#[test]
+fn copies_agree_in_whatever_order_entries_come() {
+    let entries = [("a", 1, "one"), ("b", 2, "two"), ("c", 2, "three"), ("a", 2, "four")];
+    let entries = entries.map(|(origin, version, value)| Entry {
+        key: "k".into(),
+        version,
+        origin: origin.into(),
+        value: value.into(),
+    });
+    for start in 0..entries.len() {
+        let store = Store::new("x");
+        for at in 0..entries.len() {
+            store.merge(entries[(start + at * 3) % entries.len()].clone());
+        }
+        assert_eq!(store.get("k").unwrap().value, "three", "from {start}");
+        assert!(!store.put("k", 1, "old".into()));
+    }
+}
+
+#[test]
+fn what_peers_can_make_it_hold_is_bounded() {
+    let store = Store::new("x");
+    for key in 0..MOST_KEYS {
+        assert!(store.put(&key.to_string(), 1, String::new()));
+    }
+    assert!(!store.put("one more", 1, String::new()));
+    assert!(store.put("0", 2, String::new()), "known keys still change");
+    assert!(!store.put("0", 3, "v".repeat(MOST_VALUE + 1)));
+}
