--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -241,6 +241,33 @@
     }
 }
 
+/// The new service takes connections and says nothing for a while: calls to it are given up and made again.
+#[test]
+fn a_change_is_here_in_time_after_a_reload_to_a_discovery_that_says_nothing() {
+    let aggregator = Aggregator::changed(Wire::Frames, 2, |config, _| {
+        config["settings"]["balancers"] = json!(300);
+        config["settings"]["rules"] = json!({"ask_every_ms": 600_000.0});
+    });
+    let silent = stand_in::socket();
+    let address = silent.local_addr().unwrap();
+    aggregator.reload(&aggregator.configuration(|config| config["discovery"] = json!(address.to_string())));
+    aggregator.logged("reload: done");
+    aggregator.logged("end discovery");
+    // The first call there fails by its time.
+    aggregator.logged("code=too_slow");
+    let board = Arc::new(Board::default());
+    board.list(json!([
+        line(0, aggregator.stores[0], "draining", 0),
+        line(1, aggregator.stores[1], "ready", 0)
+    ]));
+    let begun = Instant::now();
+    stand_in::discovery_on(silent, &board);
+    board.tell(json!([line(1, aggregator.stores[1], "ready", 0)]));
+    assert!(begun.elapsed() < Duration::from_millis(6000), "{:?}", begun.elapsed());
+    assert!(aggregator.ask("run-lookup", &[0], 8000).whole());
+    assert_eq!(aggregator.board.read(|state| state.parts.clone()), [(1, 0)]);
+}
+
 /// All aggregators of a fleet may start at once: each costs discovery one call then, which asks and watches in one.
 #[test]
 fn the_first_call_to_discovery_is_the_watch() {
--- a/tests/sockets/narrow.rs
+++ b/tests/sockets/narrow.rs
@@ -176,3 +176,40 @@
         drop(idle);
     }
 }
+
+/// The time of an idle connection is over, and its next request has come, both while the process stands still.
+#[test]
+fn a_request_that_is_there_when_its_idle_connection_would_be_closed_is_served() {
+    on_both(|wire| {
+        let aggregator = Aggregator::start(wire, 1);
+        let mut kept = aggregator.connect();
+        kept.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+        assert_eq!(answer(&mut kept).status, 200, "{wire:?}");
+        aggregator.signal("STOP");
+        // Idle connections are closed after 2 s.
+        std::thread::sleep(Duration::from_millis(2500));
+        kept.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+        aggregator.signal("CONT");
+        assert_eq!(answer(&mut kept).status, 200, "{wire:?}");
+    });
+}
+
+#[test]
+fn what_is_read_after_the_end_of_a_connection_is_not_sent_on() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        let mut client = aggregator.begin("no-such-class", &[0], 9000);
+        client.write_all(b"nonsense\r\n\r\n").unwrap();
+        assert_eq!(answer(&mut client).status, 404, "{wire:?}");
+        assert_eq!(answer(&mut client).status, 400, "{wire:?}");
+        // From here on the connection is only read empty.
+        let query = match wire {
+            Wire::Frames => "POST /run-lookup HTTP/1.1\r\nX-Request-ID: late\r\nX-Timeout: 9000m\r\nContent-Length: 46\r\n\r\n{\"slices\":[{\"slice\":2,\"mass\":1}],\"filter\":\"0\"}",
+            Wire::OpenSearch => "POST /run-lookup/_search HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}",
+        };
+        let _ = client.write_all(query.as_bytes());
+        assert_eq!(client.read(&mut [0]).unwrap_or(0), 0, "{wire:?}: no answer to it");
+        assert!(aggregator.ask("run-lookup", &[1], 9000).whole(), "{wire:?}");
+        assert_eq!(aggregator.board.read(|state| state.parts.clone()), [(0, 1)], "{wire:?}");
+    }
+}
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -135,8 +135,12 @@
     }
 }
 
-fn listen(accept: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+/// A socket to listen on, which accepts no connection yet.
+pub fn socket() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+fn listen(listener: TcpListener, accept: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let address = listener.local_addr().unwrap();
     let accept = Arc::new(accept);
     thread::spawn(move || {
@@ -151,7 +155,7 @@
 /// Starts a run store.
 pub fn run_store(board: &Arc<Board>, wire: Wire, store: usize) -> SocketAddr {
     let board = board.clone();
-    listen(move |stream| {
+    listen(socket(), move |stream| {
         board.change(|state| *state.connections.entry(store).or_default() += 1);
         // A connection that ends in whatever way is no matter of the stand-in's.
         let _ = match wire {
@@ -287,8 +291,13 @@
 
 /// Starts a discovery service that tells the board's lists.
 pub fn discovery(board: &Arc<Board>) -> SocketAddr {
+    discovery_on(socket(), board)
+}
+
+/// The same on a socket, to which callers may have connected before.
+pub fn discovery_on(listener: TcpListener, board: &Arc<Board>) -> SocketAddr {
     let board = board.clone();
-    listen(move |mut stream| {
+    listen(listener, move |mut stream| {
         while let Ok((first, _, _)) = read_http(&mut stream) {
             let number = |name: &str| -> Option<usize> {
                 first.split(name).nth(1)?.split(['&', ' ']).next()?.parse().ok()
