--- a/benches/module.rs
+++ b/benches/module.rs
@@ -45,6 +45,7 @@
             call_parts: 1,
             max_attempts: 3,
             may_cancel: true,
+            parallel_tries: true,
             probes: true,
             max_retry_after: 2000.0,
             tick: 5.0,
--- a/src/api.rs
+++ b/src/api.rs
@@ -173,6 +173,8 @@
     pub max_attempts: u32,
     /// Whether attempts may be cancelled.
     pub may_cancel: bool,
+    /// Whether a part may have two attempts out at once.
+    pub parallel_tries: bool,
     /// How long an idle connection is kept open by itself; `None` if the router is not to close any earlier.
     pub keep_alive: Option<Millis>,
     /// Whether replicas may be probed.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -78,6 +78,7 @@
     max_attempts: Option<u32>,
     pub max_retry_after_ms: f64,
     pub may_cancel: bool,
+    pub parallel_tries: bool,
     pub probes: bool,
 }
 
@@ -228,6 +229,7 @@
             worth_by_work: self.worth_by.as_deref() == Some("work"),
             max_attempts: self.caps.max_attempts(),
             may_cancel: self.caps.may_cancel,
+            parallel_tries: self.caps.parallel_tries,
             keep_alive: self.caps.keepalive_ms,
             probes: self.caps.probes,
             // Advice is given even where a site's clients are not known to heed it: it harms nobody.
@@ -236,7 +238,7 @@
                 Some("subscribe") => api::Discovery::Asked,
                 _ => api::Discovery::Pushed,
             },
-            ask_within: rules.ask_every_ms.unwrap_or(10_000.0),
+            ask_within: rules.ask_every_ms.filter(|within| *within > 0.0).unwrap_or(10_000.0),
             cold: cold(),
             budget: budget(),
             tick: self.tick_ms.unwrap_or(1.0),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,7 @@
         worth_by_work: false,
         max_attempts: 3,
         may_cancel: true,
+        parallel_tries: true,
         keep_alive: None,
         probes: true,
         max_retry_after: 500.0,
