Repeat at once where one run store alone is silent, also where copies may not be out

Change: the repeat waits for a replica that has answered since only where another than those tried is parked as well.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -684,11 +684,11 @@
         let bears =
             |s: &Server| self.cold_room(s, class).is_none_or(|(room, most)| room >= part.cost.min(most));
         let mut pool: Vec<&Server> = self.servers.values().filter(|s| self.holds(s, part.shard)).collect();
-        // Of replicas that hang together one may begin a repeat before another has read that it was given
-        // up: it goes to one that has answered since that other should have.
+        // Where some hang together, one may begin a repeat before another has read that it was given up.
         let unread = part.why == Why::Silent && part.may_have_run.is_some() && !self.s.parallel_tries;
         let due = part.last_sent + self.m.usual.unwrap_or(0.0) * SUSPECT_OF_USUAL;
-        let hangs = |s: &Server| unread && (s.parked.is_some() || s.answered < due);
+        let some = self.servers.values().any(|s| s.parked.is_some() && !part.tried.contains(&s.number));
+        let hangs = |s: &Server| unread && (s.parked.is_some() || (some && s.answered < due));
         pool.retain(|s| s.line.state == ReplicaState::Active && bears(s) && !hangs(s));
         let choice = if pool.len() == 1 { Choice::Only } else { Choice::Least };
         let parked = pool.iter().all(|s| s.parked.is_some());
