--- /dev/null
+++ b/src/cold/tests.rs
@@ -0,0 +1,183 @@
+use super::*;
+use crate::hash::draw;
+
+const RULE: ColdRule = ColdRule { from: 0.4, warm_within: 10_000.0, multiple: 2.0, window: 1000.0 };
+const ROUTERS: u32 = 100;
+/// Parts that all routers together would have for the cold replica, a millisecond.
+const MEETS: f64 = 0.15;
+/// What a warm replica does, in parts a millisecond.
+const CAPACITY: f64 = 0.1;
+
+fn report(throughput: f64, utilization: f64) -> LoadReport {
+    LoadReport { throughput: Some(throughput), utilization: Some(utilization), ..LoadReport::default() }
+}
+
+/// What is sent to a replica that started at 10 s, in each tenth of the ten seconds in which it gets warm, by
+/// routers of which every tenth has more than half of the traffic. A hundred warm replicas report, or none does.
+fn sent(reports: bool) -> Vec<f64> {
+    let traffic = |router: u32| if router.is_multiple_of(10) { 5.5 } else { 0.5 } / f64::from(ROUTERS);
+    let mut chance = 7;
+    let mut routers = vec![(Traffic::default(), (0.0, 10_000.0)); ROUTERS as usize];
+    routers.iter_mut().for_each(|(_, left)| left.0 = draw(&mut chance));
+    let mut sent = vec![0.0; 100];
+    for now in 0..20_000 {
+        for (router, (known, left)) in (0..).zip(&mut routers) {
+            if now % 100 == 0 {
+                let warm = if reports { report(50.0, 0.5) } else { LoadReport::default() };
+                known.told(f64::from(now), Some(RULE), (0..100).map(|_| (warm, None)));
+            }
+            // All warm replicas together do five parts a millisecond.
+            if draw(&mut chance) < 5.0 * traffic(router) {
+                known.worked(true);
+                known.asked(1, 0.2);
+            }
+            if now < 10_000 || draw(&mut chance) >= MEETS * traffic(router) {
+                continue;
+            }
+            let at = f64::from(now);
+            let (room, most) =
+                room(&RULE, (10_000.0, at), *left, CAPACITY / 2.0, (known, ROUTERS)).expect("it is cold");
+            if room >= most.min(1.0) {
+                *left = (room - 1.0, at);
+                sent[(now as usize - 10_000) / 100] += 1.0;
+            }
+        }
+    }
+    sent
+}
+
+#[test]
+fn unequal_routers_use_what_a_cold_replica_bears_and_never_push_it_over() {
+    let by_traffic = sent(true);
+    let all: f64 = by_traffic.iter().sum();
+    // It does 0.4 of its capacity at first and all of it in the end.
+    let bears = CAPACITY * 10_000.0 * 0.7;
+    // What the quiet ones do not use in time is lost: kept, all together could push it over.
+    assert!((bears * 0.7..bears * 1.1).contains(&all), "{all} of {bears}");
+    assert!(all > 1.2 * sent(false).iter().sum::<f64>(), "even shares are used as well");
+    for (at, second) in by_traffic.windows(10).enumerate() {
+        let capacity = CAPACITY * 1000.0 * (0.4 + 0.6 * at as f64 / 100.0);
+        assert!(second.iter().sum::<f64>() < RULE.multiple * capacity, "second from {at}: {second:?}");
+    }
+}
+
+/// Some replicas that are half on their way by the time at the latest, and as warm as twice that long makes them.
+fn pace(replicas: usize, capacity: f64) -> f64 {
+    let warm = (0..50).map(|_| (report(capacity * 0.8, 0.8), None));
+    let cold = (0..replicas).map(|_| (report(capacity * 0.3, 0.3), Some(0.5)));
+    let mut known = Traffic::default();
+    known.told(0.0, Some(RULE), warm.chain(cold));
+    known.pace
+}
+
+#[test]
+fn replicas_that_report_more_are_sent_more_and_a_few_reports_prove_nothing() {
+    let many = pace(40, 100.0);
+    assert!((1.7..2.0).contains(&many), "{many}");
+    assert_eq!(pace(1, 10.0), 1.0, "three parts a second may be chance");
+    assert_eq!(pace(0, 100.0), 1.0);
+}
+
+#[test]
+fn a_router_that_has_just_started_takes_an_even_share_and_the_last_one_left_takes_all() {
+    let mut known = Traffic::default();
+    known.asked(20, 0.2);
+    assert_eq!(known.share(100.0), 0.01);
+    for now in 0..20 {
+        known.told(f64::from(now) * 1000.0, Some(RULE), [(report(50.0, 0.5), None)].into_iter());
+        (0..50).for_each(|_| known.worked(true));
+    }
+    assert!(known.share(2.0) > 0.9, "{known:?}");
+    // Reports that come to an end leave nothing to reckon with.
+    known.told(30_000.0, Some(RULE), [(LoadReport::default(), None)].into_iter());
+    let before = known.share(2.0);
+    known.worked(true);
+    assert_eq!(known.share(2.0), before);
+}
+
+/// What a replica of the sites does when warm, in parts a millisecond.
+const SMALL: f64 = 0.015;
+
+/// How far what so many routers send within a window goes beyond what a replica bears that started so long ago, in
+/// what is put down to chance, when each had nothing to send at first and then at once has more than it may. Each has
+/// the same traffic; reports tell of it or do not.
+fn at_once(routers: u32, idle: u32, reports: bool) -> f64 {
+    let mut chance = 7;
+    let mut all: Vec<_> = (0..routers).map(|_| (Traffic::default(), (draw(&mut chance), 10_000.0))).collect();
+    let from = 10_000 + idle;
+    let mut sent = vec![0.0; 3000];
+    for now in 0..from + 3000 {
+        let at = f64::from(now);
+        for (known, left) in &mut all {
+            if reports && now % 100 == 0 {
+                known.told(at, Some(RULE), (0..100).map(|_| (report(SMALL * 500.0, 0.5), None)));
+            }
+            if draw(&mut chance) < SMALL * 50.0 / f64::from(routers) {
+                known.worked(true);
+                known.asked(1, 0.2);
+            }
+            if now < from {
+                continue;
+            }
+            loop {
+                let (room, most) =
+                    room(&RULE, (10_000.0, at), *left, SMALL / 2.0, (known, routers)).expect("it is cold");
+                if room < most.min(1.0) {
+                    break;
+                }
+                *left = (room - 1.0, at);
+                sent[(now - from) as usize] += 1.0;
+            }
+        }
+    }
+    let beyond = |(at, window): (usize, &[f64])| {
+        let warmth = RULE.from + (1.0 - RULE.from) * (f64::from(idle) + at as f64) / RULE.warm_within;
+        let bears = RULE.multiple * SMALL * RULE.window * warmth;
+        (window.iter().sum::<f64>() - bears) / (2.0 * bears.sqrt() + 2.0)
+    };
+    sent.windows(RULE.window as usize).enumerate().map(beyond).fold(f64::MIN, f64::max)
+}
+
+/// Beyond what the replica bears in a window only so much is put down to chance, however many routers there are.
+#[test]
+fn what_all_routers_have_saved_up_is_no_more_than_a_cold_replica_bears() {
+    for idle in [500, 3000, 6000] {
+        for routers in [2, 20, 30, 100, 300] {
+            for reports in [false, true] {
+                let beyond = at_once(routers, idle, reports);
+                assert!(beyond <= 1.0, "{routers}, idle for {idle}, reports {reports}: {beyond}");
+            }
+        }
+    }
+}
+
+/// Thirty routers with twice the work that it bears use it all the same.
+#[test]
+fn thirty_routers_use_a_cold_replica() {
+    let mut chance = 7;
+    let mut all: Vec<_> = (0..30).map(|_| (Traffic::default(), (draw(&mut chance), 10_000.0))).collect();
+    let mut sent = 0.0;
+    for now in 0..20_000 {
+        let at = f64::from(now);
+        for (known, left) in &mut all {
+            if now % 100 == 0 {
+                known.told(at, Some(RULE), (0..100).map(|_| (report(50.0, 0.5), None)));
+            }
+            if draw(&mut chance) < 5.0 / 30.0 {
+                known.worked(true);
+                known.asked(1, 0.2);
+            }
+            if now < 10_000 || draw(&mut chance) >= MEETS / 30.0 {
+                continue;
+            }
+            let (room, most) =
+                room(&RULE, (10_000.0, at), *left, CAPACITY / 2.0, (known, 30)).expect("it is cold");
+            if room >= most.min(1.0) {
+                *left = (room - 1.0, at);
+                sent += 1.0;
+            }
+        }
+    }
+    let bears = CAPACITY * 10_000.0 * 0.7;
+    assert!(sent >= 0.75 * bears, "{sent} of {bears}");
+}
