--- a/src/cold.rs
+++ b/src/cold.rs
@@ -139,7 +139,8 @@
 ///
 /// The share comes in evenly, from a start drawn by chance: few of many routers send at once, and none waits long. What
 /// is not used is lost after a while: all routers' shares of so much time, and what they do meanwhile, are no more
-/// than the replica bears in its window, however suddenly all have work for it.
+/// than the replica bears in its window, however suddenly all have work for it. Only where queries are so seldom that
+/// most would be lost is that time the one in which two come.
 pub fn room(
     rule: &ColdRule,
     (started, now): (Millis, Millis),
