Let the lab's aggregators listen on addresses that no connection can take meanwhile

Cause: crates/lab/src/aggregators.rs, free(): a port was bound, let go, and bound again by the program, and a restart does so again; meanwhile any connection on 127.0.0.1 may get it as its own port. Ruled out: the program's start (it says why and exits as it should). Change: each takes an address of its own on loopback, made of the process's number and a count, where no connection starts.

--- a/crates/lab/src/aggregators.rs
+++ b/crates/lab/src/aggregators.rs
@@ -2,9 +2,10 @@
 
 use std::fs::File;
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -30,7 +31,11 @@
 
 /// An address that is free just now.
 fn free() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static TAKEN: AtomicU8 = AtomicU8::new(0);
+    // An address of its own: on the usual one any connection that is being made may take the port meanwhile.
+    let (process, place) = (std::process::id(), TAKEN.fetch_add(1, Ordering::Relaxed));
+    let address = Ipv4Addr::new(127, 1 + (process >> 8 & 0x7f) as u8, process as u8, 1 + place % 254);
+    TcpListener::bind((address, 0))?.local_addr()
 }
 
 impl Aggregator {
