Look for other parked run stores only for a part that was given up in silence

Cause: Router::choose walked over all run stores for each part that it placed, to know whether others are parked, though only a part given up in silence, where copies may not be out, needs that: work on the hot path of every query. And tests/sockets/narrow.rs had a second copy of asks_health beside that of calls.rs. Decisions are the same.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -687,8 +687,8 @@
         // Where some hang together, one may begin a repeat before another has read that it was given up.
         let unread = part.why == Why::Silent && part.may_have_run.is_some() && !self.s.parallel_tries;
         let due = part.last_sent + self.m.usual.unwrap_or(0.0) * SUSPECT_OF_USUAL;
-        let some = self.servers.values().any(|s| s.parked.is_some() && !part.tried.contains(&s.number));
-        let hangs = |s: &Server| unread && (s.parked.is_some() || (some && s.answered < due));
+        let too = unread && self.servers.iter().any(|(n, s)| s.parked.is_some() && !part.tried.contains(n));
+        let hangs = |s: &Server| (unread && s.parked.is_some()) || (too && s.answered < due);
         pool.retain(|s| s.line.state == ReplicaState::Active && bears(s) && !hangs(s));
         let choice = if pool.len() == 1 { Choice::Only } else { Choice::Least };
         let parked = pool.iter().all(|s| s.parked.is_some());
--- a/tests/sockets/calls.rs
+++ b/tests/sockets/calls.rs
@@ -8,7 +8,7 @@
 use crate::aggregator::{answer, line, Aggregator};
 use crate::stand_in::{Act, Wire, WIRES};
 
-fn asks_health(aggregator: &Aggregator) -> u16 {
+pub fn asks_health(aggregator: &Aggregator) -> u16 {
     let mut stream = aggregator.connect();
     stream.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
     answer(&mut stream).status
--- a/tests/sockets/narrow.rs
+++ b/tests/sockets/narrow.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::aggregator::{answer, line, Aggregator};
+use crate::calls::asks_health;
 use crate::stand_in::{Act, Wire, WIRES};
 
 /// How long the platform waits after SIGTERM before it kills, for classes with deadlines over 3 s.
@@ -20,12 +21,6 @@
     });
 }
 
-fn asks_health(aggregator: &Aggregator) -> u16 {
-    let mut stream = aggregator.connect();
-    stream.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
-    answer(&mut stream).status
-}
-
 #[test]
 fn a_client_that_floods_behind_its_request_is_turned_down_and_its_parts_are_called_back() {
     for wire in WIRES {
