Take a whole list in linear time, and let a step look only at the queries that are over

Change: a set of the list's names; a set beside the ids that are gone, written as before; queries in the order of their deadlines; a count of the parts that are not in; a set of the run stores that are probed. Orders and their order are the same: overdue queries still end in the order in which they came. Random histories hold all indexes equal to a recount.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -50,11 +50,13 @@
             let record =
                 Part { query: no, shard, weight, attempts: 0, out: 0, may_have_run: None, value: None };
             self.ledger.parts.insert(part_id.clone(), record);
+            self.ledger.open_parts += 1;
             parts.push(part_id);
         }
         self.ledger.numbers.insert(id, no);
         let Ask { id: client_id, partial, key, text, .. } = ask;
         let query = Query { client_id, class, group, taken: now, deadline, partial, key, text, parts };
         self.ledger.queries.insert(no, query);
+        self.ledger.deadlines.insert(no, deadline);
     }
 }
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -93,9 +93,11 @@
 
     fn forget(&mut self, no: QueryNo) -> Option<Query> {
         let query = self.ledger.queries.remove(&no)?;
+        self.ledger.deadlines.remove(no, query.deadline);
         self.ledger.numbers.remove(&Ledger::query_id(no));
         for part in &query.parts {
-            self.ledger.parts.remove(part);
+            let part = self.ledger.parts.remove(part);
+            self.ledger.open_parts -= usize::from(part.is_some_and(|part| part.value.is_none()));
         }
         Some(query)
     }
@@ -112,13 +114,7 @@
     /// Guards the rule on lost queries: what the router still holds when the client's time is up, or the process's, is
     /// answered from what is in, or else fails. Whoever could wait longer is asked back where that is harmless.
     pub(super) fn end_overdue(&mut self, now: Millis) {
-        let overdue: Vec<QueryNo> = self
-            .ledger
-            .queries
-            .iter()
-            .filter(|(_, query)| query.deadline <= now)
-            .map(|(no, _)| *no)
-            .collect();
+        let overdue = self.ledger.deadlines.overdue(now);
         // The router is late itself, and cannot say why any more.
         let cause = if self.ledger.places.is_empty() { Cause::NoList } else { Cause::Overdue };
         for no in overdue {
--- a/src/core/hand.rs
+++ b/src/core/hand.rs
@@ -3,7 +3,7 @@
 //! One that is out by hand drains, whatever is told of it. One that is back was restarted meanwhile, as far as
 //! anybody knows here: discovery is seconds behind, and may tell of it late or not at all.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -21,8 +21,47 @@
     out: BTreeSet<ReplicaId>,
     /// When each that is back was called back.
     back: BTreeMap<ReplicaId, Millis>,
-    /// Ids that were listed once and are not, oldest first.
-    gone: VecDeque<ReplicaId>,
+    /// Ids that were listed once and are not.
+    gone: Gone,
+}
+
+/// The latest ids that were listed once and are not, oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "VecDeque<ReplicaId>", into = "VecDeque<ReplicaId>")]
+struct Gone {
+    order: VecDeque<ReplicaId>,
+    /// The same ids: a region may go at once, and each of its run stores is looked for here.
+    known: HashSet<ReplicaId>,
+}
+
+impl From<VecDeque<ReplicaId>> for Gone {
+    fn from(order: VecDeque<ReplicaId>) -> Self {
+        Gone { known: order.iter().cloned().collect(), order }
+    }
+}
+
+impl From<Gone> for VecDeque<ReplicaId> {
+    fn from(gone: Gone) -> Self {
+        gone.order
+    }
+}
+
+impl Gone {
+    fn contains(&self, id: &ReplicaId) -> bool {
+        self.known.contains(id)
+    }
+
+    fn push(&mut self, id: &ReplicaId) {
+        if !self.known.insert(id.clone()) {
+            return;
+        }
+        if self.order.len() == MOST_GONE {
+            if let Some(oldest) = self.order.pop_front() {
+                self.known.remove(&oldest);
+            }
+        }
+        self.order.push_back(id.clone());
+    }
 }
 
 impl Hand {
@@ -40,12 +79,7 @@
 
     /// A run store is no longer listed.
     pub(super) fn forget(&mut self, id: &ReplicaId) {
-        if !self.gone.contains(id) {
-            if self.gone.len() == MOST_GONE {
-                self.gone.pop_front();
-            }
-            self.gone.push_back(id.clone());
-        }
+        self.gone.push(id);
     }
 }
 
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -1,6 +1,7 @@
 //! The ledger of queries, parts and attempts: plain records, kept in step by the stages.
 
-use std::collections::{BTreeMap, HashMap};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -81,11 +82,88 @@
     pub(super) parts: HashMap<PartId, Part>,
     pub(super) out: HashMap<CallNo, Out>,
     pub(super) calls: HashMap<(PartId, Attempt), CallNo>,
-    pub(super) probes: BTreeMap<CallNo, ReplicaId>,
+    pub(super) probes: Probes,
     pub(super) places: BTreeMap<ReplicaId, Place>,
+    /// The deadline of each query, so that a step looks only at those that are over.
+    pub(super) deadlines: Deadlines,
+    /// Parts that are not in.
+    pub(super) open_parts: usize,
     last: u64,
 }
 
+/// Probes that are out, and the run stores that they went to.
+#[derive(Debug, Default)]
+pub(super) struct Probes {
+    out: HashMap<CallNo, ReplicaId>,
+    probed: HashSet<ReplicaId>,
+}
+
+impl Probes {
+    /// Whether one to a run store is out.
+    pub(super) fn is_out(&self, replica: &ReplicaId) -> bool {
+        self.probed.contains(replica)
+    }
+
+    /// One goes out to a run store to which none is out.
+    pub(super) fn insert(&mut self, no: CallNo, replica: ReplicaId) {
+        self.probed.insert(replica.clone());
+        self.out.insert(no, replica);
+    }
+
+    /// One has ended: where it went, unless it had ended before.
+    pub(super) fn remove(&mut self, no: &CallNo) -> Option<ReplicaId> {
+        let replica = self.out.remove(no)?;
+        self.probed.remove(&replica);
+        Some(replica)
+    }
+}
+
+/// Queries in the order of their deadlines.
+#[derive(Debug, Default)]
+pub(super) struct Deadlines(BTreeSet<(Deadline, QueryNo)>);
+
+/// A point of time with a total order; that of floating-point numbers by IEEE 754.
+#[derive(Debug, Clone, Copy)]
+struct Deadline(Millis);
+
+impl Ord for Deadline {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for Deadline {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Deadline {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Deadline {}
+
+impl Deadlines {
+    pub(super) fn insert(&mut self, no: QueryNo, deadline: Millis) {
+        self.0.insert((Deadline(deadline), no));
+    }
+
+    pub(super) fn remove(&mut self, no: QueryNo, deadline: Millis) {
+        self.0.remove(&(Deadline(deadline), no));
+    }
+
+    /// The queries whose deadline has come, in the order in which they were taken.
+    pub(super) fn overdue(&self, now: Millis) -> Vec<QueryNo> {
+        let mut over: Vec<_> =
+            self.0.iter().take_while(|(deadline, _)| deadline.0 <= now).map(|(_, no)| *no).collect();
+        over.sort_unstable();
+        over
+    }
+}
+
 impl Ledger {
     /// The next number, of queries, calls and probes alike.
     pub(super) fn number(&mut self) -> u64 {
@@ -95,7 +173,14 @@
 
     /// Queries held, and parts of theirs that are not in.
     pub fn open(&self) -> usize {
-        self.queries.len() + self.parts.values().filter(|part| part.value.is_none()).count()
+        self.queries.len() + self.open_parts
+    }
+
+    /// No query's deadline is later than this from now on.
+    pub(super) fn end_by(&mut self, at: Millis) {
+        self.queries.values_mut().for_each(|query| query.deadline = query.deadline.min(at));
+        let deadlines = self.queries.iter().map(|(no, query)| (Deadline(query.deadline), *no));
+        self.deadlines = Deadlines(deadlines.collect());
     }
 
     /// The answers that are in, and their weight.
@@ -122,3 +207,6 @@
         QueryId(Arc::from(format!("q{}", no.0)))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/ledger/tests.rs
@@ -0,0 +1,160 @@
+use proptest::prelude::*;
+use serde_json::json;
+
+use super::*;
+use crate::api::{Outcome, ReplicaState};
+use crate::core::{Ask, AskPart, CallEnd, Core, Listed, News, Order};
+use crate::settings::Info;
+
+/// Something that may happen to a core; numbers stand for any of what is there.
+#[derive(Debug, Clone)]
+enum Happens {
+    Ask { parts: u32, timeout: f64, partial: bool },
+    Ends { which: usize, outcome: Outcome, value: bool },
+    TimesOut(usize),
+    ProbeEnds(usize),
+    Leaves(usize),
+    Passes(f64),
+    Lists(Vec<ReplicaState>),
+    EndsBy(f64),
+}
+
+fn happens() -> impl Strategy<Value = Happens> {
+    let outcome = prop_oneof![
+        3 => Just(Outcome::Completed),
+        1 => Just(Outcome::Errored),
+        1 => Just(Outcome::Rejected),
+        2 => Just(Outcome::TimedOut),
+    ];
+    let state = prop_oneof![4 => Just(ReplicaState::Active), 1 => Just(ReplicaState::Gone)];
+    prop_oneof![
+        8 => (1u32..5, 1.0..1500.0, any::<bool>())
+            .prop_map(|(parts, timeout, partial)| Happens::Ask { parts, timeout, partial }),
+        8 => (any::<usize>(), outcome, prop::bool::weighted(0.9))
+            .prop_map(|(which, outcome, value)| Happens::Ends { which, outcome, value }),
+        3 => any::<usize>().prop_map(Happens::TimesOut),
+        2 => any::<usize>().prop_map(Happens::ProbeEnds),
+        2 => any::<usize>().prop_map(Happens::Leaves),
+        8 => (0.0..400.0).prop_map(Happens::Passes),
+        1 => prop::collection::vec(state, 3).prop_map(Happens::Lists),
+        1 => (0.0..3000.0).prop_map(Happens::EndsBy),
+    ]
+}
+
+fn core() -> Core {
+    let class = json!({"name": "search", "aim_ms": 300.0, "deadline_ms": 1000.0, "repeat": "read_like"});
+    let info: Info = serde_json::from_value(json!({
+        "caps": {"max_attempts": 3, "max_open": 60, "may_cancel": true, "probes": true},
+        "domain": {"cells": 1, "width": 1, "shards": 9, "least_share": [0.4], "complete_from": [1.0]},
+        "request_classes": [class],
+        "tick_ms": 5.0,
+    }))
+    .unwrap();
+    Core::new(&info, 7).unwrap()
+}
+
+fn list(states: &[ReplicaState]) -> News {
+    let line = |(no, state): (usize, &ReplicaState)| {
+        let id = format!("s-{no}").as_str().into();
+        let replica = Replica { id, state: *state, weight: 1.0, ..Replica::default() };
+        Listed { replica, address: Some(([127, 0, 0, 1], 9).into()) }
+    };
+    News::Changes(states.iter().enumerate().map(line).collect())
+}
+
+fn ask(parts: u32, timeout: f64, partial: bool) -> Ask {
+    let part = |shard| AskPart { shard, weight: 1.0 / f64::from(parts), hint: None, key: None };
+    Ask {
+        id: "r".into(),
+        class: "search".into(),
+        tenant: None,
+        timeout: Some(timeout),
+        retried: false,
+        partial,
+        key: None,
+        parts: (0..parts).map(part).collect(),
+        text: b"text"[..].into(),
+    }
+}
+
+/// The place of any of so many.
+fn any_of<T: Copy + Ord>(mut all: Vec<T>, which: usize) -> Option<T> {
+    all.sort_unstable();
+    (!all.is_empty()).then(|| all[which % all.len()])
+}
+
+fn happen(core: &mut Core, now: &mut Millis, what: &Happens) {
+    let ledger = &core.ledger;
+    match *what {
+        Happens::Ask { parts, timeout, partial } => {
+            core.take_in(*now, ask(parts, timeout, partial)).unwrap();
+        }
+        Happens::Ends { which, outcome, value } => {
+            if let Some(no) = any_of(ledger.out.keys().copied().collect(), which) {
+                let value = Some(b"v"[..].into()).filter(|_| value);
+                core.call_ended(*now, no, CallEnd { outcome, value, load: None });
+            }
+        }
+        Happens::TimesOut(which) => {
+            if let Some(no) = any_of(ledger.out.keys().copied().collect(), which) {
+                core.call_timed_out(*now, no);
+            }
+        }
+        Happens::ProbeEnds(which) => {
+            if let Some(no) = any_of(ledger.probes.out.keys().copied().collect(), which) {
+                core.probe_ended(no, which.is_multiple_of(2), None);
+            }
+        }
+        Happens::Leaves(which) => {
+            if let Some(no) = any_of(ledger.queries.keys().copied().collect(), which) {
+                core.client_gone(*now, no);
+            }
+        }
+        Happens::Passes(time) => {
+            *now += time;
+            core.step(*now);
+        }
+        Happens::Lists(ref states) => core.take_news(list(states)),
+        Happens::EndsBy(at) => core.end_by(*now + at),
+    }
+}
+
+/// What is kept as it changes equals what a walk over all finds.
+fn recount(ledger: &Ledger, now: Millis) {
+    let open = ledger.parts.values().filter(|part| part.value.is_none()).count();
+    assert_eq!(ledger.open(), ledger.queries.len() + open);
+    assert_eq!(ledger.deadlines.0.len(), ledger.queries.len());
+    for at in [now, now + 250.0, now + 5000.0] {
+        let over = ledger.queries.iter().filter(|(_, query)| query.deadline <= at);
+        assert_eq!(ledger.deadlines.overdue(at), over.map(|(no, _)| *no).collect::<Vec<_>>());
+    }
+    let mut probed: Vec<_> = ledger.probes.out.values().cloned().collect();
+    probed.sort();
+    let mut known: Vec<_> = ledger.probes.probed.iter().cloned().collect();
+    known.sort();
+    assert_eq!(probed, known, "one probe at a time for each run store");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn indexes_equal_a_recount_after_any_history(history in prop::collection::vec(happens(), 1..150)) {
+        let mut core = core();
+        let mut now = 0.0;
+        core.take_news(list(&[ReplicaState::Active; 3]));
+        core.step(now);
+        for what in &history {
+            happen(&mut core, &mut now, what);
+            recount(&core.ledger, now);
+            while let Some(order) = core.next_order() {
+                if let Order::Final { query, .. } = order {
+                    assert!(!core.ledger.queries.contains_key(&query), "it is closed");
+                }
+            }
+        }
+        // Whatever is left ends by its deadline, and nothing is kept of it.
+        core.step(now + 1000.0);
+        recount(&core.ledger, now + 1000.0);
+        assert_eq!(core.ledger.open(), 0);
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -361,7 +361,7 @@
     /// The process ends at some time, and no query outlives it.
     pub fn end_by(&mut self, at: Millis) {
         self.ends = at;
-        self.ledger.queries.values_mut().for_each(|query| query.deadline = query.deadline.min(at));
+        self.ledger.end_by(at);
     }
 
     /// Whether queries of a class carry a key, without which no part of theirs may reach a run store.
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -16,6 +16,7 @@
             }
             if end.outcome == Outcome::Completed && part.value.is_none() {
                 part.value = end.value;
+                self.ledger.open_parts -= usize::from(part.value.is_some());
             }
         }
         self.inbox.push(Event::AttemptEnded(AttemptEnded {
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -1,5 +1,7 @@
 //! Stage 3, route: the router is stepped with all that came in, and its actions become orders.
 
+use std::collections::HashSet;
+
 use super::ledger::Place;
 use super::{CallNo, Core, Listed, News, Order, Verdict};
 use crate::api::{Action, Event, ListNews, Millis, ReplicaState};
@@ -54,7 +56,7 @@
         let listed =
             place.is_some_and(|place| place.at.is_some() && place.replica.state == ReplicaState::Active);
         // One probe at a time for each run store: a second would only add load to one in trouble.
-        if self.ledger.probes.values().any(|known| *known == replica) {
+        if self.ledger.probes.is_out(&replica) {
             return;
         }
         if !listed {
@@ -82,9 +84,9 @@
             }
         };
         if whole {
-            let named = |id| listed.iter().any(|line| line.replica.id == id);
+            let named: HashSet<_> = listed.iter().map(|line| &line.replica.id).collect();
             let missing: Vec<_> =
-                self.ledger.places.keys().filter(|id| !named((*id).clone())).cloned().collect();
+                self.ledger.places.keys().filter(|id| !named.contains(id)).cloned().collect();
             for id in missing {
                 self.ledger.places.remove(&id);
                 self.hand.forget(&id);
@@ -116,10 +118,11 @@
     fn locate(&mut self, line: &Listed) {
         let replica = self.hand.over(&line.replica);
         let (id, state) = (replica.id.clone(), replica.state);
-        let place = self.ledger.places.get(&id);
+        let place = self.ledger.places.get_mut(&id);
+        let before = place.as_deref();
         let known =
-            place.filter(|place| place.replica.state == ReplicaState::Active).and_then(|place| place.at);
-        let at = line.address.map(|address| (address, replica.started)).or(place.and_then(|place| place.at));
+            before.filter(|place| place.replica.state == ReplicaState::Active).and_then(|place| place.at);
+        let at = line.address.map(|address| (address, replica.started)).or(before.and_then(|place| place.at));
         if state == ReplicaState::Active {
             if let Some((address, started)) = at.filter(|_| known != at) {
                 self.orders.push_back(Order::Locate { replica: id.clone(), address, started });
@@ -134,6 +137,12 @@
             self.hand.forget(&id);
             return;
         }
-        self.ledger.places.insert(id, Place { told: line.replica.clone(), replica, at });
+        let now = Place { told: line.replica.clone(), replica, at };
+        match place {
+            Some(place) => *place = now,
+            None => {
+                self.ledger.places.insert(id, now);
+            }
+        }
     }
 }
