Measure the decision module over a grid of run stores and parts in flight

Cause: benches/module.rs ended at 6,000 run stores, loaded the module with the clock at a stand, knew no quiet tick, no list and no memory, and named a page that is not there. Cells that are not built in time are named.

--- /dev/null
+++ b/benches/load/mod.rs
@@ -0,0 +1,159 @@
+//! A fleet under load for the benchmarks, which turns over as it would: each part is completed after the same time, and
+//! the clock goes on by so much that what is in flight stays the same (Little's law).
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use ironpaddle::api::*;
+use ironpaddle::Router;
+
+/// How long each part takes.
+const LATENCY: Millis = 200.0;
+/// Queries that come in one step while the load is built, at most.
+const CLUMP: usize = 50;
+pub const TICK: Millis = 5.0;
+
+/// A fleet and what is out on it.
+pub struct Load {
+    router: Router,
+    now: Millis,
+    next: u64,
+    stores: u32,
+    cells: u32,
+    flights: usize,
+    out: VecDeque<(PartId, ReplicaId, Millis)>,
+}
+
+impl Load {
+    /// So many run stores, each shard held by three of them or by all, with so many parts in flight; `None` if that took
+    /// longer than it may.
+    pub fn new(stores: u32, flights: usize, all: bool, within: Duration) -> Option<Self> {
+        let class = |repeat| Class {
+            aim: 2000.0,
+            repeat,
+            worth: 1.0,
+            late_worth: 0.1,
+            least_share: 1.0,
+            whole_from: 1.0,
+            partial_earns: 0.9,
+            second_step: 0,
+        };
+        let (cells, width) = if all { (1, 1) } else { (stores, 3.min(stores)) };
+        let settings = Settings {
+            classes: vec![class(Repeat::Safe), class(Repeat::Unsafe)],
+            over_share_worth: 0.05,
+            routers: 3,
+            cells,
+            width,
+            call_parts: 1,
+            max_attempts: 3,
+            may_cancel: true,
+            parallel_tries: true,
+            probes: true,
+            max_retry_after: 2000.0,
+            cold: Some(ColdRule { from: 0.4, warm_within: 10_000.0, multiple: 2.0, window: 1000.0 }),
+            tick: TICK,
+            ..Settings::default()
+        };
+        let begun = Instant::now();
+        let router = Router::new(settings, 7).expect("sound");
+        let mut load = Load { router, now: 0.0, next: 0, stores, cells, flights, out: VecDeque::new() };
+        load.list(load.lines());
+        // It turns over once in full, so that reports, rates and paces are known, and what was refused meanwhile, as the
+        // first parts tell of paces under no load, is made up for.
+        let clump = (flights / 20).clamp(1, CLUMP);
+        let mut turns = 0;
+        while turns < flights || load.out.len() < flights {
+            if begun.elapsed() >= within {
+                return None;
+            }
+            let lacks = clump.min(flights - load.out.len().min(flights));
+            let mut events: Vec<Event> = (0..lacks).flat_map(|_| load.query()).collect();
+            if turns > 0 || load.out.len() >= flights {
+                (0..clump).for_each(|_| events.extend(load.turn()));
+                turns += clump;
+            }
+            load.play(events);
+        }
+        Some(load)
+    }
+
+    /// The whole list.
+    pub fn lines(&self) -> Vec<Replica> {
+        (0..self.stores).map(|no| self.line(no, ReplicaState::Active)).collect()
+    }
+
+    fn line(&self, no: u32, state: ReplicaState) -> Replica {
+        let id = format!("s-{no}").as_str().into();
+        Replica { id, cell: no % self.cells, weight: 1.0, state, ..Replica::default() }
+    }
+
+    /// Takes in a whole list.
+    pub fn list(&mut self, lines: Vec<Replica>) {
+        self.play(vec![Event::List(ListNews::Full(lines))]);
+    }
+
+    /// One line that changed: a run store drains, and is back in the next one.
+    pub fn changed(&mut self) -> Vec<Event> {
+        self.next += 1;
+        let state = if self.next.is_multiple_of(2) { ReplicaState::Active } else { ReplicaState::Draining };
+        let no = (self.next / 2 * 7919) % u64::from(self.stores);
+        vec![Event::List(ListNews::Changes(vec![self.line(no as u32, state)]))]
+    }
+
+    fn query(&mut self) -> [Event; 2] {
+        self.next += 1;
+        self.now += LATENCY / self.flights as f64;
+        let (number, class) = (self.next, ClassIndex((self.next % 2) as usize));
+        let id = PartId::from(format!("q{number}.0").as_str());
+        let shard = Shard((number.wrapping_mul(0x9e37_79b9) % u64::from(self.stores * 2)) as u32);
+        [
+            Event::Query(NewQuery {
+                id: format!("q{number}").as_str().into(),
+                number,
+                class,
+                tenant: None,
+                key: None,
+                arrived: self.now,
+                deadline: self.now + 6000.0,
+                parts: 1,
+                client_retry: false,
+            }),
+            Event::Part(NewPart { id, query: number, shard, weight: 1.0, cost_hint: None, key: None }),
+        ]
+    }
+
+    /// A query of one part comes, and the part that is out longest is completed.
+    pub fn turn(&mut self) -> Vec<Event> {
+        let mut events = self.query().to_vec();
+        if let Some((part, replica, sent)) = self.out.pop_front() {
+            events.push(Event::AttemptEnded(AttemptEnded {
+                part,
+                attempt: Attempt(0),
+                replica,
+                outcome: Outcome::Completed,
+                latency: self.now - sent,
+                load: Some(LoadReport {
+                    utilization: Some(0.5),
+                    throughput: Some(3.0),
+                    ..LoadReport::default()
+                }),
+            }));
+        }
+        events
+    }
+
+    /// A tick in which nothing happens.
+    pub fn tick(&mut self) -> Vec<Event> {
+        self.now += TICK;
+        vec![Event::Wake]
+    }
+
+    pub fn play(&mut self, events: Vec<Event>) {
+        for action in self.router.step(self.now, events) {
+            if let Action::Send { part, replica, .. } = action {
+                self.out.push_back((part, replica, self.now));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/benches/scale.rs
@@ -0,0 +1,138 @@
+//! The cost of a step of the decision module, and the memory of its state, over a grid of run stores and parts in flight.
+//!
+//! `cargo bench --bench scale -- [--stores 60,600] [--in-flight 100,1000] [--limit SECONDS] [--series FILE]` prints a table; the
+//! file is for fitting slopes. A cell whose load is not built within the limit is named and left out. Figures are in
+//! `docs/measurements/scale.md`.
+
+mod load;
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::fmt::Write;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+
+use load::{Load, TICK};
+
+/// Bytes that are allocated.
+static HELD: AtomicUsize = AtomicUsize::new(0);
+
+struct Counting;
+
+// SAFETY: all is handed to the system's allocator as it came.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        HELD.fetch_add(layout.size(), Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        HELD.fetch_sub(layout.size(), Relaxed);
+        unsafe { System.dealloc(at, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+const MEASURES: [(&str, &str); 5] =
+    [("quiet_tick", "us"), ("step", "us"), ("changed_line", "us"), ("whole_list", "us"), ("state", "bytes")];
+/// Samples of each measure, and the time that they may take, from which no more are begun once there are three.
+const SAMPLES: usize = 300;
+const SAMPLING: Duration = Duration::from_millis(800);
+/// Quiet ticks at most: no part may be out for so long that it counts as silent.
+const QUIET: usize = 30;
+
+/// The median time of a play in us; the events are made outside of it.
+fn median(load: &mut Load, samples: usize, make: impl Fn(&mut Load) -> Vec<ironpaddle::api::Event>) -> f64 {
+    let (begun, mut took) = (Instant::now(), Vec::new());
+    while took.len() < samples && (took.len() < 3 || begun.elapsed() < SAMPLING) {
+        let events = make(load);
+        let at = Instant::now();
+        load.play(events);
+        took.push(at.elapsed().as_secs_f64() * 1e6);
+    }
+    took.sort_by(f64::total_cmp);
+    took[took.len() / 2]
+}
+
+/// The figures of one cell, in the order of [`MEASURES`].
+fn cell(stores: u32, flights: usize, limit: Duration) -> Option<[f64; 5]> {
+    use ironpaddle::api::{Event, ListNews};
+    let before = HELD.load(Relaxed);
+    let mut load = Load::new(stores, flights, false, limit)?;
+    let held = HELD.load(Relaxed) - before;
+    let step = median(&mut load, SAMPLES, Load::turn);
+    let tick = median(&mut load, QUIET, Load::tick);
+    let line = median(&mut load, SAMPLES, Load::changed);
+    let list = median(&mut load, 9, |load| vec![Event::List(ListNews::Full(load.lines()))]);
+    Some([tick, step, line, list, held as f64])
+}
+
+fn numbers(text: &str) -> Vec<u32> {
+    text.split(',').map(|number| number.parse().expect("whole numbers, with commas between")).collect()
+}
+
+fn main() {
+    let (mut stores, mut flights) = (vec![60, 600, 6000, 57_000], vec![100, 1000, 5600, 10_000]);
+    let (mut limit, mut series) = (Duration::from_secs(20), None);
+    let mut words = std::env::args().skip(1);
+    while let Some(word) = words.next() {
+        let mut value = || words.next().unwrap_or_else(|| panic!("{word} needs a value"));
+        match word.as_str() {
+            "--stores" => stores = numbers(&value()),
+            "--in-flight" => flights = numbers(&value()),
+            "--limit" => limit = Duration::from_secs(value().parse().expect("whole seconds")),
+            "--series" => series = Some(value()),
+            // Cargo's own.
+            "--bench" => {}
+            _ => panic!("unknown: {word}"),
+        }
+    }
+    println!("| run stores | in flight | quiet tick, us | step, us | changed line, us | whole list, ms | state, MB |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    let mut cells = Vec::new();
+    for &store in &stores {
+        for &flight in &flights {
+            let Some(figures) = cell(store, flight as usize, limit) else {
+                println!("| {store} | {flight} | not built within {} s | | | | |", limit.as_secs());
+                continue;
+            };
+            let [tick, step, line, list, held] = figures;
+            let (list, held) = (list / 1e3, held / 1e6);
+            println!("| {store} | {flight} | {tick:.1} | {step:.1} | {line:.1} | {list:.2} | {held:.2} |");
+            cells.push((store, flight, figures));
+        }
+    }
+    if let Some(file) = series {
+        std::fs::write(&file, slopes(&cells, &stores, &flights)).expect("the file can be written");
+    }
+}
+
+/// The figures along each axis with the other one held, as TOML.
+fn slopes(cells: &[(u32, u32, [f64; 5])], stores: &[u32], flights: &[u32]) -> String {
+    let mut text = String::new();
+    for (at, (measure, unit)) in MEASURES.iter().enumerate() {
+        let mut put = |axis: &str, x: &str, fixed: String, points: Vec<(u32, f64)>| {
+            let points: Vec<_> = points.iter().map(|(x, y)| format!("[{x}, {y:.2}]")).collect();
+            let name = format!("module_{measure}_by_{axis}");
+            write!(
+                text,
+                "[[series]]\nname = \"{name}\"\nx = \"{x}\"\nunit = \"{unit}\"\ncommand = \"cargo bench --bench scale\"\n\
+                 fixed = \"{fixed}, a tick of {TICK} ms, three holders a block\"\npoints = [{}]\n\n",
+                points.join(", ")
+            )
+            .expect("text can be written");
+        };
+        for held in flights {
+            let along = cells.iter().filter(|(_, flight, _)| flight == held);
+            let points = along.map(|(store, _, figures)| (*store, figures[at])).collect();
+            put(&format!("stores_at_{held}"), "run stores", format!("{held} parts in flight"), points);
+        }
+        for held in stores {
+            let along = cells.iter().filter(|(store, _, _)| store == held);
+            let points = along.map(|(_, flight, figures)| (*flight, figures[at])).collect();
+            put(&format!("in_flight_at_{held}"), "parts in flight", format!("{held} run stores"), points);
+        }
+    }
+    text
+}
