Let a step of the decisions cost what it was told and what is due

Change: holders by cell, sums kept as they change, and what is due in order of time (src/pool.rs, src/due.rs, src/exact.rs), tied to the module in src/decide/indexes.rs. The state has its own file, which counts for recordings; its format is the same. Indexes are not written down. cold::Traffic is told sums of reports instead of all reports; its tests hand these over. Indexes equal a recount after each of 80,000 steps.

--- a/benches/load/mod.rs
+++ b/benches/load/mod.rs
@@ -16,9 +16,9 @@
 /// A fleet and what is out on it.
 pub struct Load {
     router: Router,
-    now: Millis,
-    next: u64,
-    stores: u32,
+    pub now: Millis,
+    pub next: u64,
+    pub stores: u32,
     cells: u32,
     flights: usize,
     out: VecDeque<(PartId, ReplicaId, Millis)>,
@@ -83,7 +83,7 @@
         (0..self.stores).map(|no| self.line(no, ReplicaState::Active)).collect()
     }
 
-    fn line(&self, no: u32, state: ReplicaState) -> Replica {
+    pub fn line(&self, no: u32, state: ReplicaState) -> Replica {
         let id = format!("s-{no}").as_str().into();
         Replica { id, cell: no % self.cells, weight: 1.0, state, ..Replica::default() }
     }
@@ -93,14 +93,6 @@
         self.play(vec![Event::List(ListNews::Full(lines))]);
     }
 
-    /// One line that changed: a run store drains, and is back in the next one.
-    pub fn changed(&mut self) -> Vec<Event> {
-        self.next += 1;
-        let state = if self.next.is_multiple_of(2) { ReplicaState::Active } else { ReplicaState::Draining };
-        let no = (self.next / 2 * 7919) % u64::from(self.stores);
-        vec![Event::List(ListNews::Changes(vec![self.line(no as u32, state)]))]
-    }
-
     fn query(&mut self) -> [Event; 2] {
         self.next += 1;
         self.now += LATENCY / self.flights as f64;
@@ -143,12 +135,6 @@
         events
     }
 
-    /// A tick in which nothing happens.
-    pub fn tick(&mut self) -> Vec<Event> {
-        self.now += TICK;
-        vec![Event::Wake]
-    }
-
     pub fn play(&mut self, events: Vec<Event>) {
         for action in self.router.step(self.now, events) {
             if let Action::Send { part, replica, .. } = action {
--- a/benches/scale.rs
+++ b/benches/scale.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
+use ironpaddle::api::{Event, ListNews, ReplicaState};
 use load::{Load, TICK};
 
 /// Bytes that are allocated.
@@ -43,7 +44,7 @@
 const QUIET: usize = 30;
 
 /// The median time of a play in us; the events are made outside of it.
-fn median(load: &mut Load, samples: usize, make: impl Fn(&mut Load) -> Vec<ironpaddle::api::Event>) -> f64 {
+fn median(load: &mut Load, samples: usize, make: impl Fn(&mut Load) -> Vec<Event>) -> f64 {
     let (begun, mut took) = (Instant::now(), Vec::new());
     while took.len() < samples && (took.len() < 3 || begun.elapsed() < SAMPLING) {
         let events = make(load);
@@ -55,15 +56,28 @@
     took[took.len() / 2]
 }
 
+/// A tick in which nothing happens.
+fn tick(load: &mut Load) -> Vec<Event> {
+    load.now += TICK;
+    vec![Event::Wake]
+}
+
+/// One line that changed: a run store drains, and is back in the next one.
+fn changed(load: &mut Load) -> Vec<Event> {
+    load.next += 1;
+    let state = if load.next.is_multiple_of(2) { ReplicaState::Active } else { ReplicaState::Draining };
+    let no = (load.next / 2 * 7919) % u64::from(load.stores);
+    vec![Event::List(ListNews::Changes(vec![load.line(no as u32, state)]))]
+}
+
 /// The figures of one cell, in the order of [`MEASURES`].
 fn cell(stores: u32, flights: usize, limit: Duration) -> Option<[f64; 5]> {
-    use ironpaddle::api::{Event, ListNews};
     let before = HELD.load(Relaxed);
     let mut load = Load::new(stores, flights, false, limit)?;
     let held = HELD.load(Relaxed) - before;
     let step = median(&mut load, SAMPLES, Load::turn);
-    let tick = median(&mut load, QUIET, Load::tick);
-    let line = median(&mut load, SAMPLES, Load::changed);
+    let tick = median(&mut load, QUIET, tick);
+    let line = median(&mut load, SAMPLES, changed);
     let list = median(&mut load, 9, |load| vec![Event::List(ListNews::Full(load.lines()))]);
     Some([tick, step, line, list, held as f64])
 }
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::{ColdRule, LoadReport, Millis};
+use crate::exact::Exact;
 
 /// Utilization under which a report tells too little of what its replica could do.
 const TELLING: f64 = 0.2;
@@ -41,14 +42,8 @@
 }
 
 impl Traffic {
-    /// Takes in what replicas reported last, each with how much of the time in which it gets warm at the latest had
-    /// passed then, if it ever started. Counts fade over that time.
-    pub fn told(
-        &mut self,
-        now: Millis,
-        rule: Option<ColdRule>,
-        reports: impl Iterator<Item = (LoadReport, Option<f64>)>,
-    ) {
+    /// Takes in what replicas reported last. Counts fade over the time in which a replica gets warm at the latest.
+    pub fn told(&mut self, now: Millis, rule: Option<ColdRule>, reports: &Reports) {
         let Some(rule) = rule else { return };
         let span = rule.warm_within.max(1.0);
         let keep = (-(now - self.at) / span).exp();
@@ -59,19 +54,10 @@
             self.fleet = self.fleet * keep + self.rate * span * (1.0 - keep);
         }
         self.at = now;
-        let (mut all, mut told, mut warm, mut cold) = (0.0, Sum::default(), Sum::default(), Sum::default());
-        for (load, age) in reports {
-            all += 1.0;
-            let Some(served) = load.throughput else { continue };
-            told.add(served, 0.0, 0.0);
-            match (load.utilization, age) {
-                (Some(busy), Some(age)) if age < 1.0 => cold.add(served, busy, age),
-                (Some(busy), _) if busy >= TELLING => warm.add(served, busy, 1.0),
-                _ => {}
-            }
-        }
-        self.rate = if told.reports > 0.0 { told.served * all / told.reports } else { 0.0 };
-        self.capacity = if warm.busy > 0.0 { Some(warm.served / warm.busy) } else { self.capacity };
+        let Reports { all, tell, served, warm, cold } = reports;
+        self.rate = if *tell > 0 { served.value() / 1000.0 * *all as f64 / *tell as f64 } else { 0.0 };
+        let busy = warm.busy.value();
+        self.capacity = if busy > 0.0 { Some(warm.served.value() / 1000.0 / busy) } else { self.capacity };
         self.pace = self.capacity.map_or(1.0, |capacity| cold.pace(rule.from, capacity)).max(1.0);
     }
 
@@ -106,31 +92,71 @@
     }
 }
 
+/// What all replicas reported last, in sums that are kept as it changes.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct Reports {
+    all: usize,
+    /// Of those that tell what they serve: how many, and parts a second.
+    tell: usize,
+    served: Exact,
+    /// Of these, those that are warm and busy enough to tell what they could do, and those that are cold.
+    warm: Sums,
+    cold: Sums,
+}
+
 /// Sums over reports of some replicas.
-#[derive(Default)]
-struct Sum {
-    reports: f64,
-    /// Parts a millisecond, busy shares, and busy shares times the way to be warm that was behind.
-    served: f64,
-    busy: f64,
-    grown: f64,
+#[derive(Debug, Default, Clone, PartialEq)]
+struct Sums {
+    /// Parts a second, busy shares, and busy shares times the way to be warm that was behind.
+    served: Exact,
+    busy: Exact,
+    grown: Exact,
 }
 
-impl Sum {
-    fn add(&mut self, per_second: f64, busy: f64, age: f64) {
-        self.reports += 1.0;
-        self.served += per_second / 1000.0;
-        self.busy += busy;
-        self.grown += busy * age;
+impl Reports {
+    /// A replica's report, with how much of the time in which it gets warm at the latest had passed then, if it ever
+    /// started.
+    pub fn add(&mut self, load: LoadReport, age: Option<f64>) {
+        self.all += 1;
+        self.count(load, age, Exact::add, |tell| tell + 1);
+    }
+
+    /// A report that was added holds no longer.
+    pub fn take(&mut self, load: LoadReport, age: Option<f64>) {
+        self.all -= 1;
+        self.count(load, age, Exact::take, |tell| tell - 1);
+    }
+
+    fn count(
+        &mut self,
+        load: LoadReport,
+        age: Option<f64>,
+        sum: fn(&mut Exact, f64),
+        tell: fn(usize) -> usize,
+    ) {
+        let Some(served) = load.throughput else { return };
+        self.tell = tell(self.tell);
+        sum(&mut self.served, served);
+        let (sums, busy, age) = match (load.utilization, age) {
+            (Some(busy), Some(age)) if age < 1.0 => (&mut self.cold, busy, age),
+            (Some(busy), _) if busy >= TELLING => (&mut self.warm, busy, 1.0),
+            _ => return,
+        };
+        sum(&mut sums.served, served);
+        sum(&mut sums.busy, busy);
+        sum(&mut sums.grown, busy * age);
     }
+}
 
+impl Sums {
     /// How many times sooner than at the latest these get warm, at least. A busy share of one that is cold serves that
     /// share of its capacity, which begins at `from`, so that together they serve as much as their shares times
     /// `from + (1 - from) * pace * age`. What they serve in a second is a count, of which chance may have made some.
     fn pace(&self, from: f64, capacity: f64) -> f64 {
-        let count = (self.served * 1000.0).max(1.0);
-        let sure = self.served * (1.0 - CHANCE / count.sqrt());
-        (sure / capacity - from * self.busy) / ((1.0 - from) * self.grown).max(f64::MIN_POSITIVE)
+        let served = self.served.value();
+        let sure = served / 1000.0 * (1.0 - CHANCE / served.max(1.0).sqrt());
+        (sure / capacity - from * self.busy.value())
+            / ((1.0 - from) * self.grown.value()).max(f64::MIN_POSITIVE)
     }
 }
 
--- a/src/cold/tests.rs
+++ b/src/cold/tests.rs
@@ -8,13 +8,19 @@
 /// What a warm replica does, in parts a millisecond.
 const CAPACITY: f64 = 0.1;
 
+fn reports(all: impl IntoIterator<Item = (LoadReport, Option<f64>)>) -> Reports {
+    let mut reports = Reports::default();
+    all.into_iter().for_each(|(load, age)| reports.add(load, age));
+    reports
+}
+
 fn report(throughput: f64, utilization: f64) -> LoadReport {
     LoadReport { throughput: Some(throughput), utilization: Some(utilization), ..LoadReport::default() }
 }
 
 /// What is sent to a replica that started at 10 s, in each tenth of the ten seconds in which it gets warm, by
 /// routers of which every tenth has more than half of the traffic. A hundred warm replicas report, or none does.
-fn sent(reports: bool) -> Vec<f64> {
+fn sent(tell: bool) -> Vec<f64> {
     let traffic = |router: u32| if router.is_multiple_of(10) { 5.5 } else { 0.5 } / f64::from(ROUTERS);
     let mut chance = 7;
     let mut routers = vec![(Traffic::default(), (0.0, 10_000.0)); ROUTERS as usize];
@@ -23,8 +29,8 @@
     for now in 0..20_000 {
         for (router, (known, left)) in (0..).zip(&mut routers) {
             if now % 100 == 0 {
-                let warm = if reports { report(50.0, 0.5) } else { LoadReport::default() };
-                known.told(f64::from(now), Some(RULE), (0..100).map(|_| (warm, None)));
+                let warm = if tell { report(50.0, 0.5) } else { LoadReport::default() };
+                known.told(f64::from(now), Some(RULE), &reports((0..100).map(|_| (warm, None))));
             }
             // All warm replicas together do five parts a millisecond.
             if draw(&mut chance) < 5.0 * traffic(router) {
@@ -66,7 +72,7 @@
     let warm = (0..50).map(|_| (report(capacity * 0.8, 0.8), None));
     let cold = (0..replicas).map(|_| (report(capacity * 0.3, 0.3), Some(0.5)));
     let mut known = Traffic::default();
-    known.told(0.0, Some(RULE), warm.chain(cold));
+    known.told(0.0, Some(RULE), &reports(warm.chain(cold)));
     known.pace
 }
 
@@ -84,12 +90,12 @@
     known.asked(20, 0.2);
     assert_eq!(known.share(100.0), 0.01);
     for now in 0..20 {
-        known.told(f64::from(now) * 1000.0, Some(RULE), [(report(50.0, 0.5), None)].into_iter());
+        known.told(f64::from(now) * 1000.0, Some(RULE), &reports([(report(50.0, 0.5), None)]));
         (0..50).for_each(|_| known.worked(true));
     }
     assert!(known.share(2.0) > 0.9, "{known:?}");
     // Reports that come to an end leave nothing to reckon with.
-    known.told(30_000.0, Some(RULE), [(LoadReport::default(), None)].into_iter());
+    known.told(30_000.0, Some(RULE), &reports([(LoadReport::default(), None)]));
     let before = known.share(2.0);
     known.worked(true);
     assert_eq!(known.share(2.0), before);
@@ -101,7 +107,7 @@
 /// How far what so many routers send within a window goes beyond what a replica bears that started so long ago, in
 /// what is put down to chance, when each had nothing to send at first and then at once has more than it may. Each has
 /// the same traffic; reports tell of it or do not.
-fn at_once(routers: u32, idle: u32, reports: bool) -> f64 {
+fn at_once(routers: u32, idle: u32, tell: bool) -> f64 {
     let mut chance = 7;
     let mut all: Vec<_> = (0..routers).map(|_| (Traffic::default(), (draw(&mut chance), 10_000.0))).collect();
     let from = 10_000 + idle;
@@ -109,8 +115,8 @@
     for now in 0..from + 3000 {
         let at = f64::from(now);
         for (known, left) in &mut all {
-            if reports && now % 100 == 0 {
-                known.told(at, Some(RULE), (0..100).map(|_| (report(SMALL * 500.0, 0.5), None)));
+            if tell && now % 100 == 0 {
+                known.told(at, Some(RULE), &reports((0..100).map(|_| (report(SMALL * 500.0, 0.5), None))));
             }
             if draw(&mut chance) < SMALL * 50.0 / f64::from(routers) {
                 known.worked(true);
@@ -161,7 +167,7 @@
         let at = f64::from(now);
         for (known, left) in &mut all {
             if now % 100 == 0 {
-                known.told(at, Some(RULE), (0..100).map(|_| (report(50.0, 0.5), None)));
+                known.told(at, Some(RULE), &reports((0..100).map(|_| (report(50.0, 0.5), None))));
             }
             if draw(&mut chance) < 5.0 / 30.0 {
                 known.worked(true);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,8 +8,13 @@
 
 use crate::api::*;
 use crate::hash::{draw, hash, mix};
-use crate::{advice::Advice, quota::Quotas, repeats::Repeats, trim::lightest};
-use crate::{asking::Asking, budget::Spent, cold, faded::Faded, idle::Idle, lag::Lag, pace::Pace};
+use crate::{asking::Asking, cold, faded::Faded, lag::Lag, quota::Quotas, trim::lightest};
+use crate::{due::Due, pool::Pool};
+
+mod indexes;
+mod state;
+
+use state::{Flight, Measures, Part, Query, Server, ServerNo};
 
 /// Monitoring interval S, of the shortest aim: long enough to hold several parts' latencies.
 const INTERVAL_OF_AIM: f64 = 0.25;
@@ -71,91 +76,6 @@
 /// Ticks between sweeps while queries are held.
 const SWEEP_TICKS: f64 = 2.0;
 
-/// A replica's name, hashed: unlike text it is compared in one go.
-type ServerNo = u64;
-
-/// A part sent and not yet ended, or ended after its query.
-#[derive(Default, Serialize, Deserialize)]
-struct Flight {
-    server: ServerNo,
-    class: usize,
-    sent: Millis,
-    cost: f64,
-    load_then: f64,
-    ahead: f64,
-    idle: Option<Millis>,
-    cancelled: Option<Why>,
-    /// Parts sent there after it that were answered before it.
-    overtaken: u32,
-}
-
-#[derive(Default, Serialize, Deserialize)]
-struct Part {
-    id: PartId,
-    shard: Shard,
-    weight: f64,
-    cost: f64,
-    key: u64,
-    done: bool,
-    left_out: bool,
-    why: Why,
-    attempts: u32,
-    /// The attempt out, and where: never two at once, as a copy is load.
-    out: Option<(Attempt, ServerNo)>,
-    tried: Vec<ServerNo>,
-    /// The first send that may have run; `None` while all are proved not to have.
-    may_have_run: Option<Millis>,
-    last_sent: Millis,
-}
-
-#[derive(Default, Serialize, Deserialize)]
-struct Query {
-    id: QueryId,
-    class: usize,
-    accepted: Millis,
-    deadline: Millis,
-    parts: Vec<Part>,
-    /// At the second step, whether the first one's answer was whole.
-    second: Option<bool>,
-    worth: f64,
-    share: f64,
-    /// Replicas at which parts were lost to resets, once each, and whether on connections surely open.
-    resets: Vec<(ServerNo, bool)>,
-    /// When enough was in for an answer: waiting for the rest until the aim is no sign of pressure.
-    enough_at: Option<Millis>,
-}
-
-#[derive(Default, Serialize, Deserialize)]
-#[serde(default)]
-struct Server {
-    number: ServerNo,
-    line: Replica,
-    dr: Option<f64>,
-    heard: Millis,
-    /// Cost sent in the interval of that number, with what was still out at its turn.
-    sent: (i64, f64),
-    out: f64,
-    flights: u32,
-    /// Since when it has had parts of this router.
-    owes: Millis,
-    load: LoadReport,
-    loaded: Millis,
-    answered: Millis,
-    /// Share of its last parts that failed, by class, and that it lost, of all classes.
-    failed: Vec<Faded>,
-    lost: Faded,
-    parked: Option<Millis>,
-    probe_at: Millis,
-    pace: Pace,
-    /// Room for work while it is cold, and when that was reckoned.
-    cold: (f64, Millis),
-    call: (Millis, u32),
-    /// When an open connection to it was last used, and its idleness before what is out on it, unanswered.
-    used: Option<Millis>,
-    idle: Option<Millis>,
-    died: Option<Millis>,
-}
-
 /// The decisions of one router. See [`Router::step`]. Written down and read again, it goes on as it was.
 #[derive(Default, Serialize, Deserialize)]
 pub struct Router {
@@ -167,7 +87,7 @@
     own: u64,
     now: Millis,
     lag: Lag,
-    servers: BTreeMap<ServerNo, Server>,
+    servers: BTreeMap<ServerNo, Box<Server>>,
     queries: BTreeMap<u64, Query>,
     numbers: HashMap<QueryId, u64>,
     parts: HashMap<PartId, (u64, usize)>,
@@ -183,27 +103,13 @@
     wake: Option<Millis>,
     #[serde(skip)]
     actions: Vec<Action>,
-}
-
-#[derive(Default, Serialize, Deserialize)]
-#[serde(default)]
-struct Measures {
-    hint: Option<f64>,
-    /// Usual latency of a part, and the work of this router that was out when such parts were sent.
-    usual: Option<f64>,
-    load_then: Option<f64>,
-    mean: Option<f64>,
-    /// What a sound replica does with little else to do: the guide to what a cold one can carry.
-    best: Option<f64>,
-    /// By class: how long its queries take, in usual latencies of a part, and when one last told.
-    spread: Vec<Faded>,
-    density: Option<f64>,
-    quota: Quotas,
-    idle: Idle,
-    traffic: cold::Traffic,
-    further: Repeats,
-    advice: Advice,
-    budget: Spent,
+    /// What can be reckoned from the rest, kept so that no step looks at all there is; none until needed.
+    #[serde(skip)]
+    pool: Pool,
+    #[serde(skip)]
+    due: Due,
+    #[serde(skip)]
+    indexed: bool,
 }
 
 fn blend(old: Option<f64>, new: f64) -> f64 {
@@ -242,6 +148,7 @@
         self.m.quota = Quotas::new(&settings.tenants, now);
         self.servers.values_mut().for_each(|server| server.failed.resize(classes, Faded(0.0, now)));
         self.s = settings;
+        self.index();
         Ok(())
     }
 
@@ -249,6 +156,10 @@
     pub fn step(&mut self, now: Millis, events: Vec<Event>) -> Vec<Action> {
         self.lag.note(self.wake, now, self.min_aim, self.forgive);
         self.now = now;
+        if !self.indexed {
+            self.index();
+        }
+        self.pool.forget(now - self.forgive);
         for event in events {
             self.take(event);
         }
@@ -274,7 +185,7 @@
     pub fn recall(&mut self, learned: &str) -> bool {
         let Ok((m, servers)) = serde_json::from_str::<(Measures, Vec<Server>)>(learned) else { return false };
         let idle = |s| Server { flights: 0, out: 0.0, sent: (0, 0.0), used: None, idle: None, ..s };
-        (self.m, self.servers) = (m, servers.into_iter().map(|s| (s.number, idle(s))).collect());
+        (self.m, self.servers) = (m, servers.into_iter().map(|s| (s.number, Box::new(idle(s)))).collect());
         self.retune(self.s.clone()).is_ok()
     }
 
@@ -305,6 +216,7 @@
         }
         for line in lines {
             let number = hash(&line.id.0);
+            let before = self.servers.get(&number).map(|server| server.facts()).filter(|_| !whole);
             match self.servers.get_mut(&number) {
                 // A new start time is a new process: nothing learned of the old one holds.
                 Some(server) if server.line.started == line.started => server.line = line,
@@ -313,11 +225,22 @@
                     let (heard, answered) = (self.now, self.now);
                     let cold = (draw(&mut self.rng), self.now);
                     let server = Server { number, cold, line, heard, answered, failed, ..Server::default() };
-                    self.servers.insert(number, server);
+                    self.servers.insert(number, Box::new(server));
                 }
             }
+            if !whole {
+                self.pool.change(before.as_ref(), self.servers.get(&number).map(|s| s.facts()).as_ref());
+            }
+        }
+        if whole {
+            self.pool = self.counted();
+        }
+        for number in self.pool.gone() {
+            if let Some(server) = self.servers.get(&number).filter(|s| s.flights == 0) {
+                self.pool.change(Some(&server.facts()), None);
+                self.servers.remove(&number);
+            }
         }
-        self.servers.retain(|_, s| s.line.state != ReplicaState::Gone || s.flights > 0);
     }
 
     fn take_query(&mut self, new: NewQuery) {
@@ -331,7 +254,9 @@
         let NewQuery { id, number, deadline, arrived, .. } = new;
         self.numbers.insert(id.clone(), number);
         let accepted = arrived.min(self.now);
-        self.queries.insert(number, Query { id, class, accepted, deadline, worth, ..Query::default() });
+        let query = Query { id, class, accepted, deadline, worth, ..Query::default() };
+        self.due.comes(class, self.ends(number, &query));
+        self.queries.insert(number, query);
         self.fresh.push(number);
     }
 
@@ -347,6 +272,7 @@
         let NewPart { id, shard, weight, .. } = new;
         self.parts.insert(id.clone(), (new.query, query.parts.len()));
         self.waiting.insert((new.query, shard, query.parts.len()));
+        self.due.touch(new.query);
         query.parts.push(Part { id, shard, weight, cost, key, ..Part::default() });
     }
 
@@ -358,9 +284,15 @@
         }
         self.note_outcome(&flight, outcome, latency, load);
         let Some(&(number, index)) = self.parts.get(&id) else { return };
+        self.due.answered(flight.class, flight.sent, (number, index));
+        self.due.unfollow(flight.server, flight.sent, (id, attempt), (number, index));
+        self.due.touch(number);
         let Some(query) = self.queries.get_mut(&number) else { return };
         if outcome == Outcome::Reset && query.resets.iter().all(|(server, _)| *server != flight.server) {
             query.resets.push((flight.server, flight.idle.is_none()));
+            if flight.idle.is_none() {
+                self.due.reset(number);
+            }
         }
         let part = &mut query.parts[index];
         (part.out, part.why) = (None, flight.cancelled.unwrap_or(Why::After(outcome)));
@@ -370,6 +302,7 @@
             if query.share >= self.s.classes[query.class].least_share {
                 query.enough_at.get_or_insert(self.now);
             }
+            self.note_enough(number);
             return;
         }
         if !outcome.never_ran() {
@@ -394,8 +327,7 @@
         let dropped = outcome == Outcome::Reset && flight.idle.is_some() && quick;
         let died = !dropped && matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
         if outcome == Outcome::Completed {
-            let older = |f: &&mut Flight| f.server == flight.server && f.sent < flight.sent;
-            self.flights.values_mut().filter(older).for_each(|f| f.overtaken += 1);
+            self.overtake(flight);
         }
         if let (true, Some(idle)) = (dropped || outcome == Outcome::Completed, flight.idle) {
             if dropped {
@@ -406,6 +338,7 @@
         self.m.traffic.worked(!outcome.never_ran());
         let known = self.servers.get(&flight.server).map_or(0.0, |server| self.rate(server, flight.class));
         let Some(server) = self.servers.get_mut(&flight.server) else { return };
+        let (before, mut measures, mut hung) = (server.facts(), false, false);
         server.used = server.used.map(|_| now);
         server.died = if died { Some(now) } else { server.died };
         let dr = flight.cost / latency.max(self.s.tick);
@@ -424,9 +357,7 @@
                 server.dr = server.dr.filter(|_| self.lag.back == now).or(Some(dr));
                 (server.heard, server.answered, server.parked, server.idle) = (now, now, None, None);
                 server.failed[flight.class].note(0.0, TRUST_STEP, now, forget);
-                if self.lag.back < now {
-                    self.measure(flight, latency);
-                }
+                measures = self.lag.back < now;
             }
             // A connection dropped while idle says nothing of its replica.
             Outcome::Reset if dropped => server.used = None,
@@ -444,38 +375,47 @@
                 server.heard = now;
             }
             Outcome::TimedOut if self.lag.back == now => {}
-            Outcome::TimedOut | Outcome::ConnectFailed => {
-                self.park(flight.server, outcome == Outcome::ConnectFailed);
-            }
+            Outcome::TimedOut | Outcome::ConnectFailed => hung = true,
             // What was called back took at least so long: of a slow replica often the only sample.
             Outcome::Cancelled if self.lag.back < now && dr < known => {
                 (server.dr, server.heard) = (Some(dr), now);
             }
             Outcome::Cancelled | Outcome::NotSent => {}
         }
+        self.pool.change(Some(&before), Some(&server.facts()));
+        if measures {
+            self.measure(flight, latency);
+        }
+        if hung {
+            self.park(flight.server, outcome == Outcome::ConnectFailed);
+        }
     }
 
     fn take_probe(&mut self, replica: &ReplicaId, ok: bool, load: Option<LoadReport>) {
-        let Some(server) = self.servers.get_mut(&hash(&replica.0)) else { return };
-        (server.load, server.loaded) = load.map_or((server.load, server.loaded), |load| (load, self.now));
-        if ok && server.parked.take().is_some() {
-            server.answered = self.now;
+        let now = self.now;
+        let restored = self.change(hash(&replica.0), |server| {
+            (server.load, server.loaded) = load.map_or((server.load, server.loaded), |load| (load, now));
+            let restored = ok && server.parked.take().is_some();
+            server.answered = if restored { now } else { server.answered };
+            restored
+        });
+        if restored == Some(true) {
             self.actions.push(Action::Log(format!("{} restored by probe", replica.0)));
         }
     }
 
     /// Parks a replica, unless too many are and it is not sure to be gone; says whether it is parked.
     fn park(&mut self, number: ServerNo, sure: bool) -> bool {
-        let fleet = self.servers.values().filter(|s| s.line.state == ReplicaState::Active).count();
-        let parked = self.servers.values().filter(|s| s.parked.is_some()).count();
+        let (fleet, parked) = self.pool.active_and_parked();
         let shared = !sure && (parked + 1) as f64 > (SHARED_CAUSE * fleet as f64).max(1.0);
-        let Some(server) = self.servers.get_mut(&number) else { return false };
-        if server.parked.is_none() && server.line.state == ReplicaState::Active && !shared {
-            server.parked = Some(self.now);
-            server.probe_at = self.now + self.min_aim * PROBE_OF_AIM;
+        let Some(server) = self.servers.get(&number) else { return false };
+        let parks = server.parked.is_none() && server.line.state == ReplicaState::Active && !shared;
+        if parks {
             self.actions.push(Action::Log(format!("{} parked", server.line.id.0)));
+            let (now, probe_at) = (self.now, self.now + self.min_aim * PROBE_OF_AIM);
+            self.change(number, |server| (server.parked, server.probe_at) = (Some(now), probe_at));
         }
-        server.parked.is_some()
+        parks || self.servers.get(&number).is_some_and(|server| server.parked.is_some())
     }
 
     fn interval(&self) -> i64 {
@@ -556,6 +496,7 @@
         let Some(query) = self.queries.get_mut(&number) else { return };
         for index in parts {
             query.parts[index].left_out = true;
+            self.due.touch(number);
             self.waiting.remove(&(number, query.parts[index].shard, index));
         }
     }
@@ -570,11 +511,11 @@
     fn spare_laden(&mut self, number: u64, share: f64) -> Option<Cause> {
         let query = self.queries.get(&number)?;
         // Before any list nothing is known to be missing.
-        self.servers.values().find(|s| s.line.state != ReplicaState::Gone)?;
+        self.pool.is_listed().then_some(())?;
         let (mut why, mut lost, mut out) = (Cause::PredictedLate, 0.0, Vec::new());
         for (at, part) in query.parts.iter().enumerate() {
-            let takes = |s: &&Server| s.line.state == ReplicaState::Active && self.holds(s, part.shard);
-            let mut pool: Vec<_> = self.servers.values().filter(takes).collect();
+            let mut pool = self.holders(part.shard);
+            pool.retain(|s| s.line.state == ReplicaState::Active);
             prefer(&mut pool, |s| s.parked.is_none());
             if pool.is_empty() {
                 why = self.why_missing(part);
@@ -615,24 +556,26 @@
 
     /// Whether the fleet has little room, by what replicas reported lately; `None` if none did: it may have.
     fn busy(&self) -> Option<bool> {
-        let since = self.now - self.forgive;
-        let told = |s: &Server| s.load.utilization.filter(|_| s.loaded > since);
-        let told: Vec<f64> = self.servers.values().filter_map(told).collect();
-        (!told.is_empty()).then(|| told.iter().sum::<f64>() >= BUSY_AT * told.len() as f64)
+        let (busy, told) = self.pool.busy();
+        (told > 0).then_some(busy >= BUSY_AT * told as f64)
     }
 
     /// Until when work for a query is worth doing. Under pressure late work only makes more work late, so
     /// what earns little after the aim ends there; unsafe parts run on, since nothing can replace them.
     fn useful_until(&self, query: &Query) -> Millis {
-        let class = &self.s.classes[query.class];
-        let pressed = self.busy() != Some(false) && self.pace(query.class) > PRESSED_AT;
-        if pressed && class.repeat != Repeat::Unsafe && class.late_worth < LATE_WORTH {
-            query.deadline.min(query.accepted + class.aim)
+        if self.ends_at_aim(query.class) {
+            query.deadline.min(query.accepted + self.s.classes[query.class].aim)
         } else {
             query.deadline
         }
     }
 
+    fn ends_at_aim(&self, class: usize) -> bool {
+        let pressed = self.busy() != Some(false) && self.pace(class) > PRESSED_AT;
+        let class = &self.s.classes[class];
+        pressed && class.repeat != Repeat::Unsafe && class.late_worth < LATE_WORTH
+    }
+
     /// Whether the rules of its class and the count of attempts allow the part one more.
     fn may_send(&self, part: &Part, class: usize) -> bool {
         let spent = part.done || part.out.is_some() || part.attempts >= self.s.max_attempts;
@@ -640,16 +583,13 @@
     }
 
     fn place(&mut self) {
-        let listed = |s: &&Server| s.line.state != ReplicaState::Gone;
-        let heard: Vec<f64> = self.servers.values().filter(listed).filter_map(|s| s.dr).collect();
-        self.m.mean = (!heard.is_empty()).then(|| heard.iter().sum::<f64>() / heard.len() as f64);
-        let way = |s: &Server| Some((s.loaded - s.line.started?) / self.s.cold?.warm_within);
-        let told = self.servers.values().filter(listed).map(|s| (s.load, way(s)));
-        self.m.traffic.told(self.now, self.s.cold, told);
+        self.m.mean = self.pool.mean_rate();
+        self.m.traffic.told(self.now, self.s.cold, self.pool.reports());
         let since = self.now - self.forgive;
         let before = self.now - self.m.usual.unwrap_or(0.0) * DEAD_AFTER_USUAL;
-        let dead = |s: &&Server| s.died.is_some_and(|at| since < at && at <= before && s.heard < at);
-        let died = self.servers.values().filter(dead).count();
+        let dead =
+            |(number, at): &(ServerNo, Millis)| self.servers.get(number).is_some_and(|s| s.heard < *at);
+        let died = self.pool.died(since, before).filter(dead).count();
         if died as f64 > SHARED_CAUSE * self.servers.len() as f64 {
             self.wary = self.now + self.min_aim * WARY_AIMS;
         }
@@ -670,10 +610,9 @@
         }
     }
 
-    /// Whether a replica holds a shard.
-    fn holds(&self, server: &Server, shard: Shard) -> bool {
-        let cells = self.s.cells;
-        (server.line.cell % cells + cells - shard.0 % cells) % cells < self.s.width
+    /// The listed replicas that hold a shard.
+    fn holders(&self, shard: Shard) -> Vec<&Server> {
+        self.pool.holders(shard).iter().filter_map(|number| self.servers.get(number).map(|s| &**s)).collect()
     }
 
     /// The replica of the part's shard with the least finish; `None` if none may take it now.
@@ -683,7 +622,7 @@
         let failed = |s: &Server, class: usize| s.failed[class].at(self.now, forget);
         let bears =
             |s: &Server| self.cold_room(s, class).is_none_or(|(room, most)| room >= part.cost.min(most));
-        let mut pool: Vec<&Server> = self.servers.values().filter(|s| self.holds(s, part.shard)).collect();
+        let mut pool = self.holders(part.shard);
         pool.retain(|s| s.line.state == ReplicaState::Active && bears(s));
         let choice = if pool.len() == 1 { Choice::Only } else { Choice::Least };
         let parked = pool.iter().all(|s| s.parked.is_some());
@@ -741,6 +680,7 @@
         let room = self.servers.get(&to).and_then(|s| self.cold_room(s, query.class));
         let Some(query) = self.queries.get_mut(&number) else { return };
         let Some(server) = self.servers.get_mut(&to) else { return };
+        let before = server.facts();
         let part = &mut query.parts[index];
         let attempt = Attempt(part.attempts);
         part.attempts += 1;
@@ -760,12 +700,15 @@
         server.flights += 1;
         server.call = (self.now, if server.call.0 == self.now { server.call.1 + 1 } else { 1 });
         server.cold = (room.map_or(0.0, |(room, _)| room - part.cost), self.now);
+        self.pool.change(Some(&before), Some(&server.facts()));
         let (class, sent, cost, idle, ahead) = (query.class, self.now, part.cost, server.idle, server.out);
         let load_then = self.load_out;
         let flight = Flight { server: to, class, sent, cost, idle, load_then, ahead, ..Flight::default() };
         self.load_out += cost;
         let timeout = (until - self.now).max(self.s.tick);
         let (why, part, replica) = (part.why, part.id.clone(), server.line.id.clone());
+        self.due.sent(class, sent, (number, index));
+        self.due.follow(to, sent, (part.clone(), attempt), None);
         self.flights.insert((part.clone(), attempt), flight);
         self.actions.push(Action::Send { part, replica, timeout, why, choice });
         if again {
@@ -779,51 +722,66 @@
         if let (Some(flight), true) = (out, self.s.may_cancel) {
             flight.cancelled = Some(why);
             self.load_out = (self.load_out - flight.cost).max(0.0);
+            if let Some(place) = self.parts.get(id) {
+                self.due.unfollow(flight.server, flight.sent, (id.clone(), attempt), *place);
+            }
             self.actions.push(Action::Cancel { part: id.clone(), attempt, why });
         }
     }
 
     // ---- looking after what is out
 
-    /// Ends queries at the right moment and sends again what fell silent.
+    /// Looks at the queries that are due, in their order.
     fn sweep(&mut self) {
         let step = self.s.tick * SWEEP_TICKS;
-        for number in self.queries.keys().copied().collect::<Vec<_>>() {
-            let Some(query) = self.queries.get(&number) else { continue };
-            let class = &self.s.classes[query.class];
-            let enough = query.share > 0.0 && query.share >= class.least_share;
-            // What is given at the aim itself reaches its client late, and earns next to nothing.
-            let lag = self.lag.of_an_answer(self.now, class.aim, self.forgive);
-            let moment = (query.accepted + class.aim).min(query.deadline) - step * 2.0 - lag;
-            let late = self.now + step >= self.useful_until(query);
-            let all = query.share > 0.0 && query.parts.iter().all(|p| p.done);
-            let whole =
-                all || (query.second.is_none() && query.share >= class.whole_from && class.whole_from < 1.0);
-            let dead = |p: &Part| !p.done && p.out.is_none() && !p.left_out && !self.may_send(p, query.class);
-            let settled = query.parts.iter().all(|p| p.done || p.left_out || dead(p));
-            // Poison: whatever begins a part of it dies, and nothing of it completes. It is not sent again.
-            let open = query.resets.iter().filter(|(_, open)| *open).count();
-            let poison = query.share == 0.0 && open >= if self.now < self.wary { 1 } else { POISON };
-            let lost = query.parts.iter().find(|p| class.least_share >= class.whole_from && dead(p));
-            let ran = |p: &Part| p.may_have_run.is_some() && class.repeat != Repeat::Safe;
-            let spent = |p: &Part| if ran(p) { Cause::MayHaveRun } else { Cause::AttemptsSpent }(p.shard);
-            let cause = if poison { Some(Cause::Poison) } else { lost.map(spent) };
-            if whole || (enough && (self.now >= moment || settled)) {
-                self.note_pace(number, true);
-                self.answer(number, whole);
-            } else if let Some(cause) = cause {
-                self.end_query(number, true, cause);
-            } else if late {
-                let cause = self.why_late(query);
-                self.note_pace(number, false);
-                self.end_query(number, true, cause);
-            } else {
-                self.retry_silent(number);
-                self.retry_lost(number);
+        let mut due = self.due_now(step);
+        let mut cut: Vec<bool> = (0..self.s.classes.len()).map(|class| self.ends_at_aim(class)).collect();
+        while let Some(number) = due.pop_first() {
+            let Some(class) = self.queries.get(&number).map(|query| query.class) else { continue };
+            self.look_after_query(number, step);
+            // One that is slow may be the sign by which the next ones end at their aims.
+            if self.ends_at_aim(class) && !std::mem::replace(&mut cut[class], true) {
+                due.extend(self.due.aims(class, self.now + step).filter(|next| *next > number));
             }
         }
     }
 
+    /// Ends a query at the right moment, and sends again what fell silent.
+    fn look_after_query(&mut self, number: u64, step: Millis) {
+        let Some(query) = self.queries.get(&number) else { return };
+        let class = &self.s.classes[query.class];
+        let enough = query.share > 0.0 && query.share >= class.least_share;
+        // What is given at the aim itself reaches its client late, and earns next to nothing.
+        let lag = self.lag.of_an_answer(self.now, class.aim, self.forgive);
+        let moment = (query.accepted + class.aim).min(query.deadline) - step * 2.0 - lag;
+        let late = self.now + step >= self.useful_until(query);
+        let all = query.share > 0.0 && query.parts.iter().all(|p| p.done);
+        let whole =
+            all || (query.second.is_none() && query.share >= class.whole_from && class.whole_from < 1.0);
+        let dead = |p: &Part| !p.done && p.out.is_none() && !p.left_out && !self.may_send(p, query.class);
+        let settled = query.parts.iter().all(|p| p.done || p.left_out || dead(p));
+        // Poison: whatever begins a part of it dies, and nothing of it completes. It is not sent again.
+        let open = query.resets.iter().filter(|(_, open)| *open).count();
+        let poison = query.share == 0.0 && open >= if self.now < self.wary { 1 } else { POISON };
+        let lost = query.parts.iter().find(|p| class.least_share >= class.whole_from && dead(p));
+        let ran = |p: &Part| p.may_have_run.is_some() && class.repeat != Repeat::Safe;
+        let spent = |p: &Part| if ran(p) { Cause::MayHaveRun } else { Cause::AttemptsSpent }(p.shard);
+        let cause = if poison { Some(Cause::Poison) } else { lost.map(spent) };
+        if whole || (enough && (self.now >= moment || settled)) {
+            self.note_pace(number, true);
+            self.answer(number, whole);
+        } else if let Some(cause) = cause {
+            self.end_query(number, true, cause);
+        } else if late {
+            let cause = self.why_late(query);
+            self.note_pace(number, false);
+            self.end_query(number, true, cause);
+        } else {
+            self.retry_silent(number);
+            self.retry_lost(number);
+        }
+    }
+
     /// What keeps the first part that is missing from coming in.
     fn why_late(&self, query: &Query) -> Cause {
         let missing = query.parts.iter().find(|p| !p.done && !p.left_out);
@@ -831,10 +789,9 @@
     }
 
     fn why_missing(&self, part: &Part) -> Cause {
-        let listed = || self.servers.values().filter(|s| s.line.state != ReplicaState::Gone);
-        let holders: Vec<_> = listed().filter(|s| self.holds(s, part.shard)).collect();
-        match listed().next() {
-            None => Cause::NoList,
+        let holders = self.holders(part.shard);
+        match self.pool.is_listed() {
+            false => Cause::NoList,
             _ if holders.is_empty() => Cause::NoHolder(part.shard),
             _ if holders.iter().all(|s| s.line.state == ReplicaState::Draining) => Cause::Drained(part.shard),
             _ if holders.iter().all(|s| s.parked.is_some()) => Cause::AllParked(part.shard),
@@ -848,11 +805,13 @@
         let Some(query) = self.queries.get(&number) else { return };
         let (class, now, forgive, forget) = (query.class, self.now, self.forgive, self.in_turn(self.forgive));
         let since = now - self.m.usual.unwrap_or(0.0) * SUSPECT_OF_USUAL;
-        for (id, (attempt, server), _, attempts) in query.out_since(since) {
+        for (index, id, (attempt, server), sent, attempts) in query.out_since(since) {
             let lost = |f: &&mut Flight| f.cancelled.is_none() && f.overtaken >= OVERTAKEN;
             let Some(flight) = self.flights.get_mut(&(id.clone(), attempt)).filter(lost) else { continue };
             // It counts once, also where it stays out.
             flight.overtaken = 0;
+            self.due.unfollow(server, sent, (id.clone(), attempt), (number, index));
+            self.due.follow(server, sent, (id.clone(), attempt), None);
             if let Some(server) = self.servers.get_mut(&server) {
                 server.failed[class].note(1.0, TRUST_STEP, now, forget);
                 server.lost.note(1.0, SMOOTH, now, forgive);
@@ -874,15 +833,16 @@
         let slow = self.busy() != Some(false) && self.pace(class) > PRESSED_AT;
         let none = slow || self.now + self.m.usual.unwrap_or(0.0) > query.deadline;
         let safe = self.s.classes[class].repeat != Repeat::Unsafe;
-        for (id, (attempt, server), sent, attempts) in query.out_since(since) {
-            let Some(known) = self.servers.get(&server).filter(|s| s.answered < sent) else { continue };
+        for (index, id, (attempt, server), sent, attempts) in query.out_since(since) {
+            let Some(known) = self.servers.get(&server).filter(|s| s.answered < sent) else {
+                self.due.answered(class, sent, (number, index));
+                continue;
+            };
             let Some(flight) = self.flights.get(&(id.clone(), attempt)) else { continue };
             // One that no other could take the part from is waited for as long as its own rate explains.
-            let shard =
-                self.parts.get(&id).map_or(Shard(0), |(_, index)| self.queries[&number].parts[*index].shard);
             let other =
                 |s: &Server| s.number != server && s.parked.is_none() && s.line.state == ReplicaState::Active;
-            let alone = !self.servers.values().any(|s| other(s) && self.holds(s, shard));
+            let alone = !self.holders(self.queries[&number].parts[index].shard).into_iter().any(other);
             let usual = known.pace.takes(flight.ahead) * SUSPECT_OF_USUAL;
             if self.lag.back > since || (alone && self.now - sent < usual) {
                 continue;
@@ -902,10 +862,11 @@
     }
 
     fn let_go(&mut self, number: ServerNo) {
-        if let Some(server) = self.servers.get_mut(&number) {
+        let closed = self.change(number, |server| {
             server.used = None;
-            self.actions.push(Action::CloseIdle { replica: server.line.id.clone() });
-        }
+            server.line.id.clone()
+        });
+        self.actions.extend(closed.map(|replica| Action::CloseIdle { replica }));
     }
 
     fn answer(&mut self, number: u64, whole: bool) {
@@ -916,8 +877,10 @@
         self.actions.push(Action::Answer { query: query.id.clone(), whole });
         if two_steps && query.second.is_none() {
             (query.second, query.share) = (Some(whole), 0.0);
-            let parts = std::mem::take(&mut query.parts);
-            self.drop_parts(number, parts);
+            let (class, parts) = (query.class, std::mem::take(&mut query.parts));
+            self.drop_parts(number, class, parts);
+            self.note_enough(number);
+            self.due.touch(number);
         } else {
             self.drop_query(number);
         }
@@ -945,15 +908,18 @@
     fn drop_query(&mut self, number: u64) {
         if let Some(query) = self.queries.remove(&number) {
             self.numbers.remove(&query.id);
-            self.drop_parts(number, query.parts);
+            self.due.goes(query.class, self.ends(number, &query));
+            self.drop_parts(number, query.class, query.parts);
         }
     }
 
-    fn drop_parts(&mut self, number: u64, parts: Vec<Part>) {
+    fn drop_parts(&mut self, number: u64, class: usize, parts: Vec<Part>) {
         for (index, part) in parts.into_iter().enumerate() {
             self.waiting.remove(&(number, part.shard, index));
             self.parts.remove(&part.id);
-            if let Some((attempt, _)) = part.out {
+            if let Some((attempt, server)) = part.out {
+                self.due.answered(class, part.last_sent, (number, index));
+                self.due.unfollow(server, part.last_sent, (part.id.clone(), attempt), (number, index));
                 self.cancel(&part.id, attempt, Why::Over);
             }
         }
@@ -962,17 +928,17 @@
     fn look_after_servers(&mut self) {
         let now = self.now;
         if self.m.idle.drops(self.now, self.forgive) {
-            let idle = |s: &Server| s.flights == 0 && s.used.is_some_and(|at| now - at > self.m.idle.limit);
-            let idle: Vec<ServerNo> = self.servers.iter().filter(|(_, s)| idle(s)).map(|(n, _)| *n).collect();
+            let idle = self.pool.idle(now, self.m.idle.limit);
             idle.into_iter().for_each(|number| self.let_go(number));
         }
-        for server in self.servers.values_mut().filter(|s| s.parked.is_some() && now >= s.probe_at) {
-            server.probe_at = now + self.min_aim * PROBE_OF_AIM;
-            if self.s.probes {
-                self.actions.push(Action::Probe { replica: server.line.id.clone() });
-            } else {
-                server.parked = None;
-            }
+        let (next, probes) = (now + self.min_aim * PROBE_OF_AIM, self.s.probes);
+        for number in self.pool.to_probe(now) {
+            let replica = self.change(number, |server| {
+                server.probe_at = next;
+                server.parked = server.parked.filter(|_| probes);
+                server.line.id.clone()
+            });
+            self.actions.extend(replica.filter(|_| probes).map(|replica| Action::Probe { replica }));
         }
         if self.s.discovery == Discovery::Asked && self.asking.is_due(now, self.min_aim) {
             self.actions.push(Action::Subscribe);
@@ -988,22 +954,3 @@
         }
     }
 }
-
-impl Query {
-    /// Parts out since some time: each with its attempt and replica, when it was sent and how often.
-    fn out_since(&self, since: Millis) -> Vec<(PartId, (Attempt, ServerNo), Millis, u32)> {
-        let out = |p: &Part| Some((p.id.clone(), p.out?, p.last_sent, p.attempts));
-        self.parts.iter().filter_map(out).filter(|(_, _, sent, _)| *sent <= since).collect()
-    }
-}
-
-impl Server {
-    /// Cost sent in an interval. Work still out at its turn stays counted: it has yet to be done.
-    fn sent_in(&self, interval: i64) -> f64 {
-        if self.sent.0 == interval {
-            self.sent.1
-        } else {
-            self.out
-        }
-    }
-}
--- /dev/null
+++ b/src/exact/tests.rs
@@ -0,0 +1,22 @@
+use super::*;
+use crate::hash::draw;
+
+#[test]
+fn a_sum_is_the_same_in_any_order_and_whatever_has_come_and_gone() {
+    let mut chance = 3;
+    let terms: Vec<f64> =
+        (0..1000).map(|_| (draw(&mut chance) - 0.5) * 10f64.powf(draw(&mut chance) * 12.0)).collect();
+    let mut there = Exact::default();
+    terms.iter().for_each(|term| there.add(*term));
+    let mut back = Exact::default();
+    for term in terms.iter().rev() {
+        [f64::INFINITY, f64::NAN, 1e300].iter().for_each(|odd| back.add(*odd));
+        back.add(*term);
+        [f64::INFINITY, f64::NAN, 1e300].iter().for_each(|odd| back.take(*odd));
+    }
+    assert_eq!(there, back);
+    let plain: f64 = terms.iter().sum();
+    assert!((there.value() - plain).abs() <= plain.abs() * 1e-9, "{} {plain}", there.value());
+    terms.iter().for_each(|term| there.take(*term));
+    assert_eq!(there.value(), 0.0);
+}
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -11,6 +11,8 @@
 
 use std::sync::LazyLock;
 
-/// The decision module's text, hashed: the states of one text are no states of another.
-pub static MODULE: LazyLock<u64> =
-    LazyLock::new(|| ironpaddle_trace::index::hash(include_str!("../decide.rs")));
+/// The decision module's text and that of its state, hashed: the states of one text are no states of another.
+pub static MODULE: LazyLock<u64> = LazyLock::new(|| {
+    let text = [include_str!("../decide.rs"), include_str!("../decide/state.rs")].concat();
+    ironpaddle_trace::index::hash(&text)
+});
