--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -3,6 +3,7 @@
 #[path = "common/core.rs"]
 mod fixture;
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use ironpaddle::api::{Outcome, ReplicaState};
@@ -62,11 +63,19 @@
 struct Seen {
     open: BTreeMap<QueryNo, usize>,
     out: Vec<Call>,
+    /// Attempts that were to be proved over.
+    proved: u64,
     /// By class: served, refused, failed.
     ends: [[u64; 3]; 2],
 }
 
 impl Seen {
+    fn time_out(&mut self, core: &mut Core, now: f64) {
+        for call in self.out.iter().filter(|call| call.until <= now) {
+            core.call_timed_out(now, call.no);
+        }
+    }
+
     fn look(&mut self, core: &mut Core) {
         while let Some(order) = core.next_order() {
             match order {
@@ -79,7 +88,10 @@
                     self.out.push(call);
                 }
                 // What is to be proved over may still end in any way.
-                Order::GiveUp { no, prove: false, .. } => self.out.retain(|call| call.no != no),
+                Order::GiveUp { no, prove, .. } => {
+                    self.proved += u64::from(prove);
+                    self.out.retain(|call| prove || call.no != no);
+                }
                 Order::Final { query, verdict } => {
                     let class = self.open.remove(&query).expect("one final answer to each query");
                     let end = match verdict {
@@ -95,7 +107,7 @@
     }
 }
 
-fn walk(steps: &[Step]) -> Result<(), TestCaseError> {
+fn walk(steps: &[Step], proved: &Cell<u64>) -> Result<(), TestCaseError> {
     let (mut core, mut seen, mut now) = (core(), Seen::default(), 0.0);
     for (at, step) in steps.iter().enumerate() {
         match step {
@@ -113,7 +125,16 @@
                 seen.open.remove(&no);
                 core.client_gone(now, no);
             }
-            Step::Pass(time) => now += time,
+            // Silence tells only while nothing is late here.
+            Step::Pass(time) => {
+                let until = now + time;
+                while now + 5.0 < until {
+                    now += 5.0;
+                    seen.time_out(&mut core, now);
+                    core.step(now);
+                    seen.look(&mut core);
+                }
+            }
             Step::End(..) | Step::Leave(_) => {}
         }
         seen.look(&mut core);
@@ -137,6 +158,7 @@
         core.call_timed_out(now + 2000.0, call.no);
     }
     prop_assert_eq!(core.counters.ends.iter().sum::<u64>(), core.counters.sent);
+    proved.set(proved.get() + seen.proved);
     Ok(())
 }
 
@@ -145,5 +167,7 @@
     // One seed for all runs: the verdict is the same every time.
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
-    TestRunner::new_with_rng(config, rng).run(&steps(), |steps| walk(&steps)).unwrap();
+    let proved = Cell::new(0);
+    TestRunner::new_with_rng(config, rng).run(&steps(), |steps| walk(&steps, &proved)).unwrap();
+    assert!(proved.get() > 100, "silence was there: {}", proved.get());
 }
--- a/tests/late.rs
+++ b/tests/late.rs
@@ -94,6 +94,30 @@
     }
 }
 
+/// A part is out on a connection on which the next frame cannot be written in time.
+#[test]
+fn a_connection_that_is_too_slow_is_over_once_its_run_store_has_ended_it_where_copies_may_not_be_out() {
+    for copies in [true, false] {
+        let (driver, mut info) = (driver(), info());
+        info.caps.parallel_tries = copies;
+        let stores = Frames::new(driver.clone(), Limits::of(&info, 10));
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let now = driver.now();
+        stores.locate(&"s".into(), listener.local_addr().unwrap(), None);
+        stores.send(call(1, "s", now + 9000.0, Millis::INFINITY));
+        // More than the system takes for one that does not read.
+        let text = vec![b'x'; 32_000_000].into();
+        stores.send(Call { text, ..call(2, "s", now + 9000.0, now + 200.0) });
+        let executor = driver.executor().clone();
+        let a_while = || async_io::block_on(executor.run(Timer::after(Duration::from_millis(700))));
+        a_while();
+        assert_eq!(stores.open(), usize::from(!copies), "copies {copies}");
+        drop(listener.accept().unwrap());
+        a_while();
+        assert_eq!(stores.open(), 0, "copies {copies}");
+    }
+}
+
 /// Run stores that turn away all that is sent to them.
 struct Full {
     driver: Rc<Driver>,
