Bound a list by its lines and their longest form, and read it line by line

Cause: 4 MiB refused a list of 57,000 lines, 8.6 MB as measured here at 151 bytes a line, more where it is indented. And the parse held each line three times: as bytes, as strings of its own, and as the core's line with a zone of its own. Change: at most 65,536 lines (the next power of two over 57,000), and as many bytes as so many take at 512 each, 32 MiB; the longest line of the protocol page is 468, indented.

--- a/src/directory/dns_sd.rs
+++ b/src/directory/dns_sd.rs
@@ -19,7 +19,7 @@
 use super::{Reload, Target};
 use crate::config::{Config, DnsSd as Place};
 use crate::core::drive::{Directory, Driver};
-use crate::core::News;
+use crate::core::{Listed, News};
 use crate::http::client::within;
 use crate::log::{self, Reason};
 use crate::transport::span;
@@ -80,7 +80,7 @@
                     return io::Error::new(io::ErrorKind::InvalidData, "no run store is listed");
                 }
                 Ok(list) if *self.last.borrow() != list => {
-                    self.driver.take_news(list.news());
+                    self.driver.take_news(list.clone().news());
                     *self.last.borrow_mut() = list;
                 }
                 // Nothing new, which the core is to know once, when it starts to watch.
@@ -100,14 +100,14 @@
         for record in pointers.iter().filter(|record| dns::same(&record.name, &self.service)) {
             let Data::Pointer(instance) = &record.data else { continue };
             if let Some(line) = self.instance(instance, &pointers).await? {
-                lines.insert(line.name.clone(), line);
+                lines.insert(line.replica.id.clone(), line);
             }
         }
         Ok(List { index: 0, snapshot: true, endpoints: lines.into_values().collect() })
     }
 
     /// The line of a run store; `None` if its records do not tell enough.
-    async fn instance(&self, name: &Name, known: &[Record]) -> io::Result<Option<Line>> {
+    async fn instance(&self, name: &Name, known: &[Record]) -> io::Result<Option<Listed>> {
         let mut records = known.to_vec();
         let of = |records: &[Record], wanted: fn(&Data) -> bool| {
             records.iter().any(|record| dns::same(&record.name, name) && wanted(&record.data))
@@ -214,22 +214,23 @@
 }
 
 /// A run store's line from its TXT record; `None` without a `group`.
-fn line(name: &str, address: SocketAddr, texts: &[Vec<u8>]) -> Option<Line> {
+fn line(name: &str, address: SocketAddr, texts: &[Vec<u8>]) -> Option<Listed> {
     let value = |key: &str| {
         texts.iter().filter_map(|text| std::str::from_utf8(text).ok()).find_map(|text| {
             let (known, value) = text.split_once('=')?;
             known.eq_ignore_ascii_case(key).then(|| value.to_string())
         })
     };
-    Some(Line {
-        name: name.to_string(),
-        address: address.to_string(),
-        zone: value("zone").unwrap_or_default(),
+    let line = Line {
+        name: name.into(),
+        address: address.to_string().into(),
+        zone: value("zone").unwrap_or_default().into(),
         group: value("group")?.parse().ok()?,
-        status: value("status").unwrap_or_else(|| "ready".into()),
+        status: value("status").unwrap_or_else(|| "ready".into()).into(),
         weight: value("weight").and_then(|weight| weight.parse().ok()).unwrap_or(1.0),
         since_ms: value("since_ms").and_then(|since| since.parse().ok()).unwrap_or(0.0),
-    })
+    };
+    Some(line.listed())
 }
 
 #[cfg(test)]
--- a/src/directory/list.rs
+++ b/src/directory/list.rs
@@ -1,10 +1,26 @@
-//! The discovery service's list, from JSON.
+//! The list of run stores, from JSON.
 
-use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::api::{Replica, ReplicaId, ReplicaState};
 use crate::core::{Listed, News};
 
+/// The most lines of one list: the next power of two over the 57,000 run stores that are planned for. A line is held
+/// several times while a list is taken in, so that it is their number that bounds the memory it takes.
+pub const MOST_LINES: usize = 65_536;
+/// The most bytes of a line on the average, as the protocol page has lines, in a list that is indented: 162 for keys,
+/// punctuation and blanks, 63 each for name, zone and type (a label of the DNS; RFC 1035, 2.3.4), 53 for an address
+/// and its port, 8 for the state and 56 for the numbers are 468, and the rest is to spare.
+pub const LONGEST_LINE: usize = 512;
+/// The most bytes of a list. They and its lines are what bounds the memory that it takes while it is taken in.
+pub const MOST_BYTES: usize = MOST_LINES * LONGEST_LINE;
+
 /// An answer of the discovery service, or the list of an aggregator's configuration.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct List {
@@ -14,26 +30,28 @@
     /// Whether these are all lines, or those that changed.
     #[serde(default)]
     pub snapshot: bool,
-    /// The lines.
-    #[serde(default)]
-    pub endpoints: Vec<Line>,
+    /// The lines, [`MOST_LINES`] at most.
+    #[serde(default, serialize_with = "write", deserialize_with = "read")]
+    pub endpoints: Vec<Listed>,
 }
 
-/// A line of the list.
+/// A line of the list as it is written.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Line {
+pub struct Line<'a> {
     /// The run store's name.
-    pub name: String,
+    #[serde(borrow)]
+    pub name: Cow<'a, str>,
     /// Where it listens.
-    #[serde(default)]
-    pub address: String,
+    #[serde(default, borrow)]
+    pub address: Cow<'a, str>,
     /// Where it stands.
-    #[serde(default)]
-    pub zone: String,
+    #[serde(default, borrow)]
+    pub zone: Cow<'a, str>,
     /// Its cell.
     pub group: u32,
     /// Its state.
-    pub status: String,
+    #[serde(borrow)]
+    pub status: Cow<'a, str>,
     /// Its size against others.
     #[serde(default = "one")]
     pub weight: f64,
@@ -46,14 +64,19 @@
     1.0
 }
 
-impl Line {
-    fn listed(&self) -> Listed {
+impl Line<'_> {
+    /// The line for the core.
+    pub fn listed(&self) -> Listed {
+        self.listed_in(self.zone.as_ref().into())
+    }
+
+    fn listed_in(&self, zone: Arc<str>) -> Listed {
         let replica = Replica {
-            id: ReplicaId::from(self.name.as_str()),
-            zone: self.zone.as_str().into(),
+            id: ReplicaId::from(self.name.as_ref()),
+            zone,
             cell: self.group,
             // A state of a new kind is no invitation to send.
-            state: match self.status.as_str() {
+            state: match self.status.as_ref() {
                 "ready" => ReplicaState::Active,
                 "gone" => ReplicaState::Gone,
                 _ => ReplicaState::Draining,
@@ -65,32 +88,76 @@
     }
 }
 
-impl List {
-    /// The lines for the core.
-    pub fn listed(&self) -> Vec<Listed> {
-        self.endpoints.iter().map(Line::listed).collect()
-    }
-
-    /// A whole list of such lines.
-    pub fn of(lines: &[Listed]) -> Self {
-        let line = |line: &Listed| Line {
-            name: line.replica.id.0.to_string(),
-            address: line.address.map(|address| address.to_string()).unwrap_or_default(),
-            zone: line.replica.zone.to_string(),
+impl<'a> From<&'a Listed> for Line<'a> {
+    fn from(line: &'a Listed) -> Self {
+        let status = match line.replica.state {
+            ReplicaState::Active => "ready",
+            ReplicaState::Draining => "draining",
+            ReplicaState::Gone => "gone",
+        };
+        Line {
+            name: Cow::Borrowed(&line.replica.id.0),
+            address: line.address.map(|address| address.to_string()).unwrap_or_default().into(),
+            zone: Cow::Borrowed(&line.replica.zone),
             group: line.replica.cell,
-            status: if line.replica.state == ReplicaState::Active { "ready" } else { "draining" }.into(),
+            status: status.into(),
             weight: line.replica.weight,
             since_ms: line.replica.started.unwrap_or(0.0),
-        };
-        List { index: 0, snapshot: true, endpoints: lines.iter().map(line).collect() }
+        }
+    }
+}
+
+fn write<S: Serializer>(lines: &[Listed], serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_seq(lines.iter().map(Line::from))
+}
+
+fn read<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Listed>, D::Error> {
+    deserializer.deserialize_seq(Lines)
+}
+
+/// Reads line after line: nothing is kept of one but what the core gets, and zones are few and shared.
+struct Lines;
+
+impl<'de> Visitor<'de> for Lines {
+    type Value = Vec<Listed>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "at most {MOST_LINES} lines")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<Listed>, A::Error> {
+        let mut zones: BTreeSet<Arc<str>> = BTreeSet::new();
+        let mut lines = Vec::new();
+        while let Some(line) = seq.next_element::<Line>()? {
+            if lines.len() == MOST_LINES {
+                return Err(A::Error::invalid_length(MOST_LINES + 1, &self));
+            }
+            let zone = zones.get(line.zone.as_ref()).cloned().unwrap_or_else(|| {
+                let zone: Arc<str> = line.zone.as_ref().into();
+                zones.insert(zone.clone());
+                zone
+            });
+            lines.push(line.listed_in(zone));
+        }
+        Ok(lines)
+    }
+}
+
+impl List {
+    /// A whole list of such lines.
+    pub fn of(endpoints: Vec<Listed>) -> Self {
+        List { index: 0, snapshot: true, endpoints }
     }
 
     /// As news.
-    pub fn news(&self) -> News {
+    pub fn news(self) -> News {
         if self.snapshot {
-            News::Full(self.listed())
+            News::Full(self.endpoints)
         } else {
-            News::Changes(self.listed())
+            News::Changes(self.endpoints)
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/directory/watch.rs
+++ b/src/directory/watch.rs
@@ -14,13 +14,12 @@
 use crate::config::Config;
 use crate::core::drive::{Directory, Driver};
 use crate::core::News;
-use crate::directory::list::List;
+use crate::directory::list::{List, MOST_BYTES};
 use crate::http::client::{within, Client};
 use crate::http::write;
 use crate::log::{self, Reason};
 
 const CONNECT: Duration = Duration::from_millis(1000);
-const MOST_LIST: usize = 4 * 1024 * 1024;
 
 /// A watch that its core starts, again after each failure.
 pub struct Watch {
@@ -100,7 +99,7 @@
         let begun = Instant::now();
         let mut open = match client.take() {
             Some(open) => open,
-            None => Client::connect(address, CONNECT, MOST_LIST).await?,
+            None => Client::connect(address, CONNECT, MOST_BYTES).await?,
         };
         // One call both tells what changed and begins the watch: a first one that only asks would be a second
         // call of each aggregator just when all start. What connecting took is taken off the wait, so that the call
--- a/src/http/parse.rs
+++ b/src/http/parse.rs
@@ -239,7 +239,12 @@
         };
         let framing = self.framing(&start, &headers)?;
         let keep_alive = keep_alive && framing != Framing::UntilClose;
-        Ok(Some((Message { start, headers, body: Vec::new(), keep_alive }, framing)))
+        let body = match (self.kind, framing) {
+            // A long answer is held once: grown by doubling, its body would have room for up to twice its bytes.
+            (Kind::Response(_), Framing::Length(length)) => Vec::with_capacity(length),
+            _ => Vec::new(),
+        };
+        Ok(Some((Message { start, headers, body, keep_alive }, framing)))
     }
 
     fn framing(&self, start: &Start, headers: &Headers) -> Result<Framing, Bad> {
--- a/src/service/program.rs
+++ b/src/service/program.rs
@@ -105,7 +105,7 @@
         let (known, version) = known_list(&config, state.as_ref(), store.as_ref().map(|(store, _)| &**store));
         let (listing, reload) = directory(&config, version, &driver)?;
         driver.connect(stores, listing);
-        driver.take_news(News::Cached(known.listed()));
+        driver.take_news(News::Cached(known.endpoints));
         executor.spawn(driver.clone().run()).detach();
         if let Some((store, _)) = &store {
             executor.spawn(keep_directory(store.clone(), driver.clone())).detach();
@@ -193,7 +193,7 @@
     }
 
     fn state(&self) -> State {
-        let mut list = List::of(&self.driver.directory());
+        let mut list = List::of(self.driver.directory());
         list.index = self.driver.version().unwrap_or(0);
         State {
             list,
@@ -352,7 +352,7 @@
 async fn keep_directory(store: Rc<Store>, driver: Rc<Driver>) {
     let mut kept = List::default();
     loop {
-        let list = List::of(&driver.directory());
+        let list = List::of(driver.directory());
         if list != kept && !list.endpoints.is_empty() {
             if let Ok(text) = serde_json::to_string(&list) {
                 store.put(store::DIRECTORY, driver.now() as u64, text);
