Test that the ids that are gone are bounded, known and written as before

Cause: the set beside them came without a test of its own. Change: a test that goes past the bound and reads back what is written.

--- a/src/core/hand.rs
+++ b/src/core/hand.rs
@@ -112,3 +112,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
