Order deadlines by the one total order of times

Cause: the index of deadlines and the indexes of the decisions came together, each with a total order of times of its own.

Change: the ledger uses that of src/exact.rs.

--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -1,12 +1,12 @@
 //! The ledger of queries, parts and attempts: plain records, kept in step by the stages.
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use super::{CallNo, Piece, QueryNo};
 use crate::api::{Attempt, Millis, Outcome, PartId, QueryId, Replica, ReplicaId};
+use crate::exact::Time;
 
 /// A query that is owed a final answer.
 #[derive(Debug)]
@@ -122,39 +122,15 @@
 
 /// Queries in the order of their deadlines.
 #[derive(Debug, Default)]
-pub(super) struct Deadlines(BTreeSet<(Deadline, QueryNo)>);
-
-/// A point of time with a total order; that of floating-point numbers by IEEE 754.
-#[derive(Debug, Clone, Copy)]
-struct Deadline(Millis);
-
-impl Ord for Deadline {
-    fn cmp(&self, other: &Self) -> Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
-impl PartialOrd for Deadline {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl PartialEq for Deadline {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Deadline {}
+pub(super) struct Deadlines(BTreeSet<(Time, QueryNo)>);
 
 impl Deadlines {
     pub(super) fn insert(&mut self, no: QueryNo, deadline: Millis) {
-        self.0.insert((Deadline(deadline), no));
+        self.0.insert((Time(deadline), no));
     }
 
     pub(super) fn remove(&mut self, no: QueryNo, deadline: Millis) {
-        self.0.remove(&(Deadline(deadline), no));
+        self.0.remove(&(Time(deadline), no));
     }
 
     /// The queries whose deadline has come, in the order in which they were taken.
@@ -181,7 +157,7 @@
     /// No query's deadline is later than this from now on.
     pub(super) fn end_by(&mut self, at: Millis) {
         self.queries.values_mut().for_each(|query| query.deadline = query.deadline.min(at));
-        let deadlines = self.queries.iter().map(|(no, query)| (Deadline(query.deadline), *no));
+        let deadlines = self.queries.iter().map(|(no, query)| (Time(query.deadline), *no));
         self.deadlines = Deadlines(deadlines.collect());
     }
 
