--- a/crates/lab/src/aggregators.rs
+++ b/crates/lab/src/aggregators.rs
@@ -29,6 +29,25 @@
     cpu_ms: f64,
 }
 
+/// How often an aggregator looks whether the process that started it is still there.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// Is an aggregator: the program itself, which ends with the process that started it.
+///
+/// # Errors
+/// If it cannot be run.
+pub fn be(config: &Path) -> Result<(), String> {
+    let parent = std::os::unix::process::parent_id();
+    thread::spawn(move || {
+        while std::os::unix::process::parent_id() == parent {
+            thread::sleep(LOOK_EVERY);
+        }
+        std::process::exit(1);
+    });
+    ironpaddle::log::begin(ironpaddle::log::Format::Text, "info")?;
+    ironpaddle::service::run(config)
+}
+
 /// An address that is free just now.
 fn free() -> io::Result<SocketAddr> {
     static TAKEN: AtomicU8 = AtomicU8::new(0);
@@ -81,6 +100,11 @@
         Ok(())
     }
 
+    /// Its process, while there is one.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Makes an operator's call.
     ///
     /// # Errors
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -255,7 +255,7 @@
 }
 
 /// A histogram of microseconds, up to ten minutes, to three digits.
-fn histogram() -> Histogram<u32> {
+pub fn histogram() -> Histogram<u32> {
     Histogram::new_with_max(600_000_000, 3).unwrap_or_else(|_| unreachable!("these bounds are sound"))
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,7 @@
 mod logs;
 mod model;
 mod report;
+mod scale;
 mod scenario;
 mod stores;
 
@@ -40,6 +41,14 @@
     Demo(demo::Options),
     /// Play a scenario between several aggregators, with links between all processes that can be cut, delayed and reset.
     Fleet(demo::Fleet),
+    /// Run hollow aggregators beside real ones, and measure what each role uses and how soon changes are in force.
+    Scale(scale::Options),
+    /// Stand in for others in a scale run, which starts such processes of itself.
+    #[command(hide = true)]
+    ScaleRole {
+        /// What to stand in for.
+        role: scale::roles::Role,
+    },
     /// Measure what a line of the log costs: as it was, as text, as JSON, and filtered out. Send standard error to
     /// /dev/null.
     LogCost {
@@ -59,9 +68,9 @@
     let done = match Cli::parse().command {
         Command::Demo(options) => demo::run(&options),
         Command::Fleet(fleet) => demo::fleet(fleet),
-        Command::Aggregator { config } => ironpaddle::log::begin(ironpaddle::log::Format::Text, "info")
-            .and_then(|()| ironpaddle::service::run(&config))
-            .map(|()| true),
+        Command::Scale(options) => scale::run(&options),
+        Command::ScaleRole { role } => scale::roles::play(role),
+        Command::Aggregator { config } => aggregators::be(&config).map(|()| true),
         Command::LogCost { lines } => logs::cost(lines).map(|()| true),
     };
     match done {
--- /dev/null
+++ b/crates/lab/src/scale.rs
@@ -0,0 +1,367 @@
+//! The scale run: hollow aggregators beside real ones, on loopback, under changes of the list and load, and what each role
+//! uses meanwhile.
+
+mod bounds;
+mod clients;
+mod discovery;
+mod events;
+mod hollow;
+mod outcome;
+pub mod roles;
+mod stores;
+mod sweep;
+mod wire;
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_signal::{Signal, Signals};
+use clap::Args;
+use futures_lite::StreamExt;
+use serde_json::{json, Value};
+
+use self::outcome::{Outcome, Told};
+use self::roles::{usage, Process, Role, Setup, Usage, Word};
+use crate::aggregators::Aggregator;
+use crate::clock::Clock;
+
+/// The class of all queries, and their tenant.
+const CLASS: &str = "scale";
+const TENANT: &str = "all";
+/// The wanted time and the give-up time of queries, in milliseconds.
+const AIM_MS: f64 = 300.0;
+const DEADLINE_MS: f64 = 3000.0;
+/// Run stores that hold a shard.
+const HOLDERS: usize = 3;
+/// The most parts of a query.
+const MOST_PARTS: usize = 140;
+/// How long clients ask before anything is measured.
+const WARM_UP: Duration = Duration::from_millis(1500);
+/// How long all may take to have their first list, and the last changes.
+const FIRST_LISTS: Duration = Duration::from_secs(90);
+const LAST_CHANGES: Duration = Duration::from_secs(30);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// How a scale run runs.
+#[derive(Debug, Clone, Args)]
+pub struct Options {
+    /// Lines of the list. One process answers for all run stores that are asked.
+    #[arg(long, default_value_t = 600)]
+    run_stores: usize,
+    /// Hollow aggregators: their control state and their watch, without clients, in one process.
+    #[arg(long, default_value_t = 100)]
+    hollow: usize,
+    /// Real aggregators: processes of the program, under load.
+    #[arg(long, default_value_t = 1)]
+    real: usize,
+    /// Parts that each real aggregator has out at once.
+    #[arg(long, default_value_t = 100)]
+    in_flight: usize,
+    /// Run stores that queries go to, the first of the list; the others are lines alone.
+    #[arg(long, default_value_t = 600)]
+    asked: usize,
+    /// How long a run store takes for a part, in milliseconds.
+    #[arg(long, allow_negative_numbers = true, default_value_t = 20.0)]
+    work: f64,
+    /// Changes of the list a second: drains, restarts, run stores that leave and join.
+    #[arg(long, allow_negative_numbers = true, default_value_t = 1.0)]
+    changes: f64,
+    /// How long the list changes and is measured.
+    #[arg(long, allow_negative_numbers = true, default_value_t = 10.0)]
+    seconds: f64,
+    /// The source of chance.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Write the results into this file.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Draw a chart into this SVG file.
+    #[arg(long)]
+    chart: Option<PathBuf>,
+    /// Run again and again, with one size after the other grown and the rest as named, for slopes.
+    #[arg(long, value_enum, num_args = 0..=1, default_missing_value = "all")]
+    sweep: Option<sweep::Axis>,
+    /// Write the slopes of a sweep into this TOML file; without it, they are printed.
+    #[arg(long, requires = "sweep")]
+    slopes: Option<PathBuf>,
+    /// What was built, to be noted with slopes.
+    #[arg(long, default_value = concat!("ironpaddle-lab ", env!("CARGO_PKG_VERSION")), requires = "sweep")]
+    build: String,
+}
+
+impl Options {
+    fn asked(&self) -> usize {
+        self.asked.min(self.run_stores)
+    }
+
+    /// Queries that a real aggregator has at once, and parts of each.
+    fn queries(&self) -> (usize, usize) {
+        let queries = self.in_flight.div_ceil(MOST_PARTS.min(self.asked())).max(1);
+        (queries, (self.in_flight / queries).max(1))
+    }
+
+    fn settings(&self) -> Value {
+        json!({
+            "balancers": self.hollow + self.real, "discovery": "subscribe", "tick_ms": 5.0, "zone": "a",
+            "caps": {"connect_timeout_ms": 250.0, "keepalive_ms": 30000.0, "max_attempts": 3,
+                "max_open": 1000 + 2 * self.in_flight, "max_retry_after_ms": 2000.0, "may_cancel": true, "probes": true,
+                "streams_per_conn": 100},
+            "domain": {"cells": self.run_stores, "width": HOLDERS.min(self.run_stores), "shards": self.run_stores,
+                "bundle_max": 1, "least_share": [1.0], "complete_from": [1.0], "partial_earns": [1.0]},
+            "request_classes": [{"name": CLASS, "aim_ms": AIM_MS, "deadline_ms": DEADLINE_MS, "late_worth": 0.1,
+                "repeat": "read_like", "value": 1.0}],
+            "realms": [{"name": TENANT, "quota_per_s": 1e9}],
+            "over_share_worth": 0.05,
+            "rules": {"cold_from": 0.3, "fall_multiple": 2.0, "overload_for_ms": 1000.0, "warm_within_ms": 8000.0},
+        })
+    }
+
+    fn setup(&self) -> Setup {
+        Setup {
+            run_stores: self.run_stores,
+            hollow: self.hollow,
+            real: self.real,
+            changes: self.changes,
+            seconds: self.seconds,
+            seed: self.seed,
+            queries: self.queries(),
+            asked: self.asked(),
+            work_ms: self.work,
+            settings: self.settings(),
+            ..Setup::default()
+        }
+    }
+
+    /// The run's command.
+    fn command(&self) -> String {
+        format!(
+            "ironpaddle-lab scale --run-stores {} --hollow {} --real {} --in-flight {} --asked {} --work {} --changes {} \
+             --seconds {} --seed {}",
+            self.run_stores,
+            self.hollow,
+            self.real,
+            self.in_flight,
+            self.asked,
+            self.work,
+            self.changes,
+            self.seconds,
+            self.seed
+        )
+    }
+}
+
+/// Runs it; says whether all was well.
+///
+/// # Errors
+/// If it cannot be run.
+pub fn run(options: &Options) -> Result<bool, String> {
+    if let Err(why) = bounds::check(options) {
+        clap::Error::raw(clap::error::ErrorKind::ValueValidation, format!("{why}\n")).exit();
+    }
+    let told_to_end = told_to_end()?;
+    if let Some(axis) = options.sweep {
+        return sweep::run(options, axis, &told_to_end);
+    }
+    let outcome = play(options, &told_to_end)?;
+    print!("{}", outcome.tables());
+    if let Some(path) = &options.json {
+        let text = serde_json::to_string_pretty(&outcome).map_err(|error| error.to_string())? + "\n";
+        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+    }
+    if let Some(path) = &options.chart {
+        outcome.chart(path)?;
+    }
+    Ok(outcome.is_well())
+}
+
+/// Whether a signal has told the run to end. From now on none ends this process at once, so that it can end what it started.
+fn told_to_end() -> Result<Arc<AtomicBool>, String> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
+    let told = Arc::new(AtomicBool::new(false));
+    let tell = told.clone();
+    thread::spawn(move || {
+        async_io::block_on(async {
+            while signals.next().await.is_some() {
+                tell.store(true, Ordering::Release);
+            }
+        });
+    });
+    Ok(told)
+}
+
+/// All processes of a run. What was started last ends first, run stores and discovery after those that call them.
+struct Fleet<'a> {
+    told_to_end: &'a AtomicBool,
+    clients: Option<Process>,
+    aggregators: Vec<Aggregator>,
+    hollow: Process,
+    discovery: Process,
+    stores: Process,
+}
+
+/// What was so at a moment.
+#[derive(Default)]
+struct Sample {
+    at: f64,
+    stores: (Usage, Value),
+    discovery: (Usage, Value),
+    hollow: Usage,
+    clients: (Usage, Value),
+    real: Vec<Usage>,
+}
+
+impl<'a> Fleet<'a> {
+    fn start(options: &Options, told_to_end: &'a AtomicBool) -> Result<Self, String> {
+        let mut setup = options.setup();
+        let stores = Process::start(Role::Stores, &setup)?;
+        setup.stores = stores.addresses.first().copied();
+        let discovery = Process::start(Role::Discovery, &setup)?;
+        setup.discovery = discovery.addresses.clone();
+        let hollow = Process::start(Role::Hollow, &setup)?;
+        let mut fleet =
+            Fleet { told_to_end, clients: None, aggregators: Vec::new(), hollow, discovery, stores };
+        let program = std::env::current_exe().map_err(|error| error.to_string())?;
+        for no in 0..options.real {
+            fleet.goes_on()?;
+            let config = json!({"name": format!("scale-{}-{no}", std::process::id()),
+                "seed": format!("{:x}", options.seed + no as u64), "discovery": setup.discovery[no + 1].to_string(),
+                "limits": {"sockets": bounds::sockets(options)}, "settings": setup.settings, "api": "platform"});
+            let started = Aggregator::start(&program, &folder().join(format!("n{no}")), config);
+            fleet.aggregators.push(started.map_err(|error| error.to_string())?);
+        }
+        setup.aggregators = fleet.aggregators.iter().map(|aggregator| aggregator.address).collect();
+        fleet.clients = Some(Process::start(Role::Clients, &setup)?);
+        Ok(fleet)
+    }
+
+    fn goes_on(&self) -> Result<(), String> {
+        if self.told_to_end.load(Ordering::Acquire) {
+            return Err("told to end".to_string());
+        }
+        Ok(())
+    }
+
+    fn sleep(&self, span: Duration) -> Result<(), String> {
+        let until = Instant::now() + span;
+        while Instant::now() < until {
+            self.goes_on()?;
+            thread::sleep(LOOK_EVERY.min(until - Instant::now().min(until)));
+        }
+        Ok(())
+    }
+
+    /// Waits until all aggregators have the list of some version in force, or for so long; whether they have.
+    fn all_have(&mut self, options: &Options, version: u64, limit: Duration) -> Result<bool, String> {
+        let began = Instant::now();
+        loop {
+            let standing: hollow::Standing = read(self.hollow.tell(Word::Mark)?)?;
+            let mark = self.discovery.tell(Word::Mark)?;
+            let taken: Vec<u64> = read(mark["taken"].clone())?;
+            let place = (version - events::FIRST_INDEX) as usize;
+            let hollow = standing.in_force.get(place).map_or(0, |(count, _)| *count);
+            if hollow == options.hollow && taken.iter().all(|taken| *taken >= version) {
+                return Ok(true);
+            }
+            if began.elapsed() > limit {
+                return Ok(false);
+            }
+            self.sleep(LOOK_EVERY)?;
+        }
+    }
+
+    fn sample(&mut self, clock: Clock) -> Result<Sample, String> {
+        let failed = |error: std::io::Error| error.to_string();
+        let usage_of = |process: &Process| usage(process.id()).map_err(failed);
+        let mut sample = Sample {
+            at: clock.now(),
+            hollow: usage_of(&self.hollow)?,
+            discovery: (usage_of(&self.discovery)?, Value::Null),
+            stores: (usage_of(&self.stores)?, Value::Null),
+            ..Sample::default()
+        };
+        for aggregator in &self.aggregators {
+            let id = aggregator.id().ok_or("a real aggregator has ended")?;
+            sample.real.push(usage(id).map_err(failed)?);
+        }
+        if let Some(clients) = &mut self.clients {
+            sample.clients = (usage_of(clients)?, clients.tell(Word::Mark)?);
+        }
+        sample.discovery.1 = self.discovery.tell(Word::Mark)?;
+        sample.stores.1 = self.stores.tell(Word::Mark)?;
+        Ok(sample)
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(value: Value) -> Result<T, String> {
+    serde_json::from_value(value).map_err(|error| error.to_string())
+}
+
+/// Where the aggregators of this process keep their configurations and logs.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("ironpaddle-scale-{}", std::process::id()))
+}
+
+/// One run. Logs are kept where something went wrong.
+fn play(options: &Options, told_to_end: &AtomicBool) -> Result<Outcome, String> {
+    let played = play_through(options, told_to_end);
+    if told_to_end.load(Ordering::Acquire) || played.as_ref().is_ok_and(Outcome::is_well) {
+        let _ = std::fs::remove_dir_all(folder());
+    }
+    played
+}
+
+/// From the start of all processes to their end.
+fn play_through(options: &Options, told_to_end: &AtomicBool) -> Result<Outcome, String> {
+    let clock = Clock::new();
+    let drawn = events::draw(options.run_stores, options.changes, options.seconds, options.seed);
+    let began = clock.now();
+    let mut fleet = Fleet::start(options, told_to_end)?;
+    if !fleet.all_have(options, events::FIRST_INDEX, FIRST_LISTS)? {
+        return Err(format!("not all aggregators had their first list within {} s", FIRST_LISTS.as_secs()));
+    }
+    let start_s = (clock.now() - began) / 1000.0;
+    if let Some(clients) = &mut fleet.clients {
+        clients.tell(Word::Begin(0))?;
+    }
+    if options.real > 0 {
+        fleet.sleep(WARM_UP)?;
+    }
+    let before = fleet.sample(clock)?;
+    let begin = clock.now() as u64 + 1;
+    fleet.discovery.tell(Word::Begin(begin))?;
+    fleet.sleep(Duration::from_secs_f64(options.seconds))?;
+    let after = fleet.sample(clock)?;
+    let last = events::FIRST_INDEX + drawn.len() as u64;
+    let everywhere = fleet.all_have(options, last, LAST_CHANGES)?;
+    let standing: hollow::Standing = read(fleet.hollow.tell(Word::End)?)?;
+    let told: Told = read(fleet.discovery.tell(Word::End)?)?;
+    let mut listed = events::first_list(options.run_stores);
+    drawn.iter().for_each(|event| events::apply(&mut listed, event));
+    let wanted = events::digest_entries(&listed, begin);
+    let equal = standing.lists.get(&wanted).copied().unwrap_or(0);
+    let mut ends = None;
+    if let Some(clients) = &mut fleet.clients {
+        clients.tell(Word::End)?;
+        // Whoever has asked is answered.
+        fleet.sleep(Duration::from_secs_f64(AIM_MS / 1000.0))?;
+    }
+    if let Some(clients) = &mut fleet.clients {
+        ends = Some(read(clients.tell(Word::End)?["ends"].clone())?);
+    }
+    let mut in_order = true;
+    drop(fleet.clients.take());
+    for aggregator in &mut fleet.aggregators {
+        in_order &= aggregator.end().map_err(|error| error.to_string())?;
+    }
+    drop(fleet);
+    Outcome::new(
+        options,
+        &drawn,
+        [&before, &after],
+        outcome::End { start_s, everywhere, equal, standing, told, ends: ends.unwrap_or_default(), in_order },
+    )
+}
--- /dev/null
+++ b/crates/lab/src/scale/events.rs
@@ -0,0 +1,151 @@
+//! What happens to the list of run stores in a run: drawn from a seed alone, before anything is started.
+
+use std::collections::BTreeMap;
+
+use ironpaddle::hash::{hash, mix};
+
+/// The index of discovery's list before the first event.
+pub const FIRST_INDEX: u64 = 1;
+/// The share of run stores that may be away from the list or draining at once.
+const MOST_AWAY: f64 = 0.1;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// A run store as the list has it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    /// Its cell.
+    pub cell: u32,
+    /// Whether it drains.
+    pub draining: bool,
+    /// When it was started, in milliseconds from the begin of the events; `None` for long ago.
+    pub started: Option<u64>,
+}
+
+/// All run stores that are listed, by name.
+pub type Entries = BTreeMap<String, Entry>;
+
+/// What happens to a run store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// It is to get nothing new.
+    Drain,
+    /// Another process of it has started, and is ready.
+    Restart,
+    /// It leaves the list.
+    Remove,
+    /// It joins the list, in a cell that another has left.
+    Add,
+}
+
+/// A change of a line of the list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Event {
+    /// When, in milliseconds from the begin.
+    pub at: u64,
+    /// What.
+    pub change: Change,
+    /// The run store.
+    pub name: String,
+    /// Its line from then on; of one that is removed, as it was last.
+    pub entry: Entry,
+}
+
+/// The list before any event.
+pub fn first_list(run_stores: usize) -> Entries {
+    (0..run_stores).map(|no| (name(no), Entry { cell: no as u32, draining: false, started: None })).collect()
+}
+
+fn name(no: usize) -> String {
+    format!("s-{no:08x}")
+}
+
+/// The events of a run: so many a second, spaced evenly.
+pub fn draw(run_stores: usize, per_second: f64, seconds: f64, seed: u64) -> Vec<Event> {
+    let mut random = fastrand::Rng::with_seed(mix(seed));
+    let mut listed = first_list(run_stores);
+    let mut names: Vec<String> = listed.keys().cloned().collect();
+    let (mut draining, mut free): (Vec<String>, Vec<u32>) = Default::default();
+    let most_away = ((run_stores as f64 * MOST_AWAY) as usize).max(1);
+    let mut next = run_stores;
+    let mut events = Vec::new();
+    for no in 0..(per_second * seconds) as u64 {
+        let at = (no as f64 * 1000.0 / per_second) as u64;
+        // Where too many are away already, one of them comes back.
+        let may_go = draining.len() + free.len() < most_away && !names.is_empty();
+        let change = match random.u32(0..10) {
+            0..=3 if may_go => Change::Drain,
+            4..=5 if may_go => Change::Remove,
+            6..=7 if !free.is_empty() => Change::Add,
+            0..=5 if draining.is_empty() && !free.is_empty() => Change::Add,
+            _ if draining.is_empty() && names.is_empty() => Change::Add,
+            _ => Change::Restart,
+        };
+        let (name, entry) = match change {
+            Change::Add => {
+                let cell = free.swap_remove(random.usize(..free.len()));
+                next += 1;
+                (name(next - 1), Entry { cell, draining: false, started: Some(at) })
+            }
+            Change::Restart => {
+                let from = if draining.is_empty() { &mut names } else { &mut draining };
+                let name = from.swap_remove(random.usize(..from.len()));
+                let cell = listed[&name].cell;
+                (name, Entry { cell, draining: false, started: Some(at) })
+            }
+            Change::Drain | Change::Remove => {
+                let name = names.swap_remove(random.usize(..names.len()));
+                let entry = listed[&name].clone();
+                (name, Entry { draining: change == Change::Drain, ..entry })
+            }
+        };
+        match change {
+            Change::Drain => draining.push(name.clone()),
+            Change::Remove => free.push(entry.cell),
+            Change::Restart | Change::Add => names.push(name.clone()),
+        }
+        let event = Event { at, change, name, entry };
+        apply(&mut listed, &event);
+        events.push(event);
+    }
+    events
+}
+
+/// Brings the list up to date with an event.
+pub fn apply(listed: &mut Entries, event: &Event) {
+    if event.change == Change::Remove {
+        listed.remove(&event.name);
+    } else {
+        listed.insert(event.name.clone(), event.entry.clone());
+    }
+}
+
+/// Events in a number, the same for the same events alone.
+pub fn digest(events: &[Event]) -> u64 {
+    events.iter().fold(0, |sum, event| mix(sum ^ hash(&format!("{event:?}"))))
+}
+
+/// A list in a number; events began at a time of the clock.
+pub fn digest_list<'a>(lines: impl Iterator<Item = (&'a str, u32, bool, Option<f64>)>) -> u64 {
+    lines.fold(0, |sum, line| mix(sum ^ hash(&format!("{line:?}"))))
+}
+
+/// The same of entries.
+pub fn digest_entries(listed: &Entries, begin: u64) -> u64 {
+    let started = |entry: &Entry| entry.started.map(|at| (begin + at) as f64);
+    digest_list(listed.iter().map(|(name, entry)| (&**name, entry.cell, entry.draining, started(entry))))
+}
+
+/// A line of the list as discovery writes it.
+pub fn line(name: &str, entry: &Entry, gone: bool, address: &str, begin: u64) -> String {
+    let status = match (gone, entry.draining) {
+        (true, _) => "gone",
+        (false, true) => "draining",
+        (false, false) => "ready",
+    };
+    let zone = ZONES[entry.cell as usize % ZONES.len()];
+    let since = entry.started.map_or(0, |at| begin + at);
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"{zone}","type":"m2","group":{},"status":"{status}","weight":1.0,"since_ms":{since}}}"#,
+        entry.cell
+    )
+}
--- /dev/null
+++ b/crates/lab/src/scale/hollow.rs
@@ -0,0 +1,173 @@
+//! Hollow aggregators, thousands in a process: the program's own control state and watch, with real calls to discovery and
+//! no clients.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::future::{poll_fn, Future};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use ironpaddle::api::{Millis, ReplicaId, ReplicaState};
+use ironpaddle::core::drive::{Directory, Driver, RunStores};
+use ironpaddle::core::{Call, CallNo, Core, News};
+use ironpaddle::directory::watch::Watch;
+use ironpaddle::settings::Info;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use super::events::{self, FIRST_INDEX};
+use super::roles::{Attend, Setup, Word};
+use crate::clock::Clock;
+
+/// Threads, of which each has its share of the aggregators.
+const THREADS: usize = 4;
+/// Aggregators of a thread that may be without a list while the next one starts.
+const STARTING: usize = 8;
+
+/// How it stands with the aggregators of a process.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Standing {
+    /// Those that have a list.
+    pub listed: usize,
+    /// By version, from the first on: how many have it in force, and when the last of them had it.
+    pub in_force: Vec<(usize, f64)>,
+    /// At the end: the lists that are held, in a number, and how many hold each.
+    pub lists: BTreeMap<u64, usize>,
+}
+
+impl Standing {
+    /// An aggregator had versions in force from some time on.
+    fn note(&mut self, from: u64, to: u64, at: f64) {
+        let place = |version: u64| (version - FIRST_INDEX) as usize;
+        let reach = place(to) + 1;
+        self.in_force.resize(self.in_force.len().max(reach), (0, 0.0));
+        for (count, last) in &mut self.in_force[place(from)..reach] {
+            *count += 1;
+            *last = at.max(*last);
+        }
+    }
+}
+
+type Shared = Arc<Mutex<Standing>>;
+
+fn lock(standing: &Shared) -> MutexGuard<'_, Standing> {
+    standing.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// No connections to run stores: as there are no queries, nothing is to be sent.
+struct NoStores;
+
+impl RunStores for NoStores {
+    fn send(&self, _: Call) {}
+    fn give_up(&self, _: &ReplicaId, _: CallNo, _: bool) {}
+    fn probe(&self, _: &ReplicaId, _: CallNo) {}
+    fn probe_timed_out(&self, _: &ReplicaId, _: CallNo) {}
+    fn close_idle(&self, _: &ReplicaId) {}
+    fn retire(&self, _: &ReplicaId) {}
+    fn locate(&self, _: &ReplicaId, _: SocketAddr, _: Option<Millis>) {}
+    fn places(&self) -> usize {
+        0
+    }
+    fn open(&self) -> usize {
+        0
+    }
+    fn room(&self, _: usize) {}
+    fn retune(&self, _: &Info) {}
+}
+
+/// An aggregator, driven until its process ends.
+async fn drive(driver: Rc<Driver>, watch: Rc<Watch>, clock: Clock, standing: Shared) {
+    let known = Cell::new(None::<u64>);
+    let mut running = pin!(driver.clone().run());
+    poll_fn(|context| {
+        let polled = running.as_mut().poll(context);
+        // What was told is in force once the step after it is done.
+        let version = Directory::version(&watch).filter(|_| !driver.has_news());
+        if let Some(version) = version.filter(|version| known.get().is_none_or(|known| known < *version)) {
+            let mut standing = lock(&standing);
+            let from = known.replace(Some(version)).map_or(FIRST_INDEX, |known| known + 1);
+            standing.listed += usize::from(from == FIRST_INDEX);
+            standing.note(from, version, clock.now());
+        }
+        polled
+    })
+    .await;
+}
+
+/// The list that an aggregator holds, in a number.
+fn list(driver: &Driver) -> u64 {
+    let lines = driver.directory();
+    let line = |line: &ironpaddle::core::Listed| {
+        let drains = line.replica.state != ReplicaState::Active;
+        (line.replica.id.0.to_string(), line.replica.cell, drains, line.replica.started)
+    };
+    let lines: Vec<_> = lines.iter().map(line).collect();
+    events::digest_list(lines.iter().map(|(name, cell, drains, started)| (&**name, *cell, *drains, *started)))
+}
+
+/// Starts them. Each is started when few of the last ones wait for their list.
+pub fn start(setup: &Setup) -> io::Result<(Vec<SocketAddr>, Attend)> {
+    let info: Info = serde_json::from_value(setup.settings.clone())?;
+    let discovery = *setup.discovery.first().ok_or(io::ErrorKind::InvalidInput)?;
+    let clock = Clock::new();
+    let mut threads = Vec::new();
+    for thread in 0..THREADS {
+        let standing = Shared::default();
+        let (asking, asked) = async_channel::bounded::<()>(1);
+        let (answers, answer) = std::sync::mpsc::channel();
+        let (info, held) = (info.clone(), standing.clone());
+        let (seed, hollow) = (setup.seed, setup.hollow);
+        thread::spawn(move || {
+            let executor = Rc::new(LocalExecutor::new());
+            let mut drivers = Vec::new();
+            let all = async {
+                for no in (thread..hollow).step_by(THREADS) {
+                    let Ok(core) = Core::new(&info, seed + no as u64) else { return };
+                    let driver = Driver::new(core, executor.clone());
+                    let watch = Watch::new(driver.clone(), discovery, None);
+                    driver.connect(Rc::new(NoStores), Rc::new(watch.clone()));
+                    driver.take_news(News::Cached(Vec::new()));
+                    executor.spawn(drive(driver.clone(), watch, clock, held.clone())).detach();
+                    drivers.push(driver);
+                    while lock(&held).listed + STARTING < drivers.len() {
+                        Timer::after(Duration::from_millis(2)).await;
+                    }
+                }
+                while asked.recv().await.is_ok() {
+                    let mut lists = BTreeMap::new();
+                    drivers.iter().for_each(|driver| *lists.entry(list(driver)).or_default() += 1);
+                    if answers.send(lists).is_err() {
+                        return;
+                    }
+                }
+            };
+            async_io::block_on(executor.run(all));
+        });
+        threads.push((standing, asking, answer));
+    }
+    let attend: Attend = Box::new(move |word| {
+        let mut all = Standing::default();
+        for (standing, asking, answer) in &threads {
+            let mut part = lock(standing).clone();
+            if word == Word::End && asking.send_blocking(()).is_ok() {
+                part.lists = answer.recv().unwrap_or_default();
+            }
+            all.listed += part.listed;
+            all.in_force.resize(all.in_force.len().max(part.in_force.len()), (0, 0.0));
+            for ((count, last), (more, later)) in all.in_force.iter_mut().zip(part.in_force) {
+                *count += more;
+                *last = last.max(later);
+            }
+            part.lists.into_iter().for_each(|(list, count)| *all.lists.entry(list).or_default() += count);
+        }
+        json!(all)
+    });
+    Ok((Vec::new(), attend))
+}
--- /dev/null
+++ b/crates/lab/src/scale/outcome.rs
@@ -0,0 +1,404 @@
+//! What came of a run: what each role used, and how soon changes were in force.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::clients::Ends;
+use super::events::{self, Event};
+use super::hollow::Standing;
+use super::roles::Usage;
+use super::wire::Traffic;
+use super::{read, Options, Sample};
+use crate::clients::histogram;
+use crate::report::table;
+
+/// What discovery knows of the changes.
+#[derive(Debug, Default, Deserialize)]
+pub struct Told {
+    /// When each was told.
+    pub told: Vec<f64>,
+    /// By real aggregator: when it asked for what came after each.
+    pub taken: Vec<Vec<f64>>,
+}
+
+/// What was so at the end.
+pub struct End {
+    /// How long the start took, in seconds.
+    pub start_s: f64,
+    /// Whether all changes were in force at all aggregators.
+    pub everywhere: bool,
+    /// Hollow aggregators that held the list that the events lead to.
+    pub equal: usize,
+    /// How it stood with the hollow aggregators.
+    pub standing: Standing,
+    /// When changes were told and taken in.
+    pub told: Told,
+    /// How queries ended.
+    pub ends: Ends,
+    /// Whether all real aggregators ended in good order.
+    pub in_order: bool,
+}
+
+/// What the processes of a role used while it was measured.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Used {
+    /// Its processes, or hollow aggregators.
+    pub members: usize,
+    /// Processor time of all of them, in milliseconds a second.
+    pub cpu_ms_per_s: f64,
+    /// Memory of all of them at the end, in bytes.
+    pub memory: u64,
+    /// The most memory of all of them, in bytes.
+    pub peak_memory: u64,
+    /// Descriptors of all of them at the end.
+    pub descriptors: u64,
+    /// Messages a second that came.
+    pub messages_in_per_s: f64,
+    /// Messages a second that went.
+    pub messages_out_per_s: f64,
+    /// Bytes a second that came.
+    pub bytes_in_per_s: f64,
+    /// Bytes a second that went.
+    pub bytes_out_per_s: f64,
+}
+
+impl Used {
+    fn of(members: usize, usage: [&[Usage]; 2], traffic: Traffic, seconds: f64) -> Self {
+        let sum = |usage: &[Usage], of: fn(&Usage) -> u64| usage.iter().map(of).sum::<u64>();
+        let cpu = |usage: &[Usage]| usage.iter().map(|usage| usage.cpu_ms).sum::<f64>();
+        let [before, after] = usage;
+        let rate = |count: u64| count as f64 / seconds;
+        Used {
+            members,
+            cpu_ms_per_s: (cpu(after) - cpu(before)) / seconds,
+            memory: sum(after, |usage| usage.memory),
+            peak_memory: sum(after, |usage| usage.peak),
+            descriptors: sum(after, |usage| usage.descriptors),
+            messages_in_per_s: rate(traffic.messages_in),
+            messages_out_per_s: rate(traffic.messages_out),
+            bytes_in_per_s: rate(traffic.bytes_in),
+            bytes_out_per_s: rate(traffic.bytes_out),
+        }
+    }
+}
+
+/// Times of changes, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Times {
+    /// Half of the changes were in force sooner.
+    pub p50: f64,
+    /// All but one of a hundred were.
+    pub p99: f64,
+    /// The last of them.
+    pub most: f64,
+}
+
+impl Times {
+    fn of(times: impl Iterator<Item = f64>) -> Option<Self> {
+        let mut histogram = histogram();
+        times.for_each(|ms| histogram.saturating_record((ms.max(0.0) * 1000.0) as u64));
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+        (!histogram.is_empty()).then(|| Times { p50: at(0.5), p99: at(0.99), most: at(1.0) })
+    }
+}
+
+/// How soon changes were in force.
+#[derive(Debug, Serialize)]
+pub struct Changes {
+    /// Their number.
+    pub count: usize,
+    /// The events in a number: the same for the same seed and sizes.
+    pub digest: String,
+    /// Whether every one was in force at every aggregator at the end.
+    pub everywhere: bool,
+    /// Hollow aggregators that held at the end the very list that the events lead to.
+    pub hollow_equal: usize,
+    /// From being told until the last hollow aggregator had done its step with it.
+    pub hollow: Option<Times>,
+    /// From being told until the last real aggregator had taken it in and asked for more.
+    pub real: Option<Times>,
+    /// Until the last of all.
+    pub all: Option<Times>,
+    /// By change: the time of all, in milliseconds.
+    pub each: Vec<f64>,
+}
+
+/// How queries went while it was measured.
+#[derive(Debug, Serialize)]
+pub struct Queries {
+    /// Their ends, from the first on.
+    pub ends: Ends,
+    /// Parts a second that were in answers.
+    pub parts_per_s: f64,
+    /// Times of answers, in milliseconds.
+    pub p50_ms: f64,
+    /// See `p50_ms`.
+    pub p99_ms: f64,
+    /// Processor time of the real aggregators for each part, in microseconds.
+    pub cpu_us_per_part: f64,
+}
+
+/// All that came of a run.
+#[derive(Debug, Serialize)]
+pub struct Outcome {
+    /// The run's command.
+    pub command: String,
+    /// How long was measured, in seconds.
+    pub seconds: f64,
+    /// How long the start took, until all aggregators had a list, in seconds.
+    pub start_s: f64,
+    /// By role.
+    pub roles: BTreeMap<&'static str, Used>,
+    /// The bytes of the whole list, as it was last asked for.
+    pub whole_list_bytes: u64,
+    /// Changes of the list.
+    pub changes: Changes,
+    /// Queries, where there were any.
+    pub queries: Option<Queries>,
+    /// Whether all real aggregators ended in good order.
+    pub ended_in_order: bool,
+}
+
+impl Outcome {
+    pub(super) fn new(
+        options: &Options,
+        drawn: &[Event],
+        [before, after]: [&Sample; 2],
+        end: End,
+    ) -> Result<Self, String> {
+        let seconds = (after.at - before.at) / 1000.0;
+        let traffic = |[before, after]: [&Value; 2]| -> Result<Traffic, String> {
+            Ok(read::<Traffic>(after.clone())?.since(&read(before.clone())?))
+        };
+        let told = [&before.discovery.1, &after.discovery.1];
+        let hollow = traffic(told.map(|told| &told["hollow"]))?;
+        let real = (0..options.real).try_fold(Traffic::default(), |sum, no| {
+            traffic(told.map(|told| &told["real"][no])).map(|more| sum.and(&more))
+        })?;
+        let stores = traffic([&before.stores.1, &after.stores.1].map(|mark| &mark["traffic"]))?;
+        let clients = traffic([&before.clients.1, &after.clients.1].map(|mark| &mark["traffic"]))?;
+        let one = |of: fn(&Sample) -> Usage| [[of(before)], [of(after)]];
+        let used = |members, usage: [[Usage; 1]; 2], traffic| {
+            Used::of(members, [&usage[0], &usage[1]], traffic, seconds)
+        };
+        let all_real = real.and(&stores).and(&clients).turned();
+        let mut roles = BTreeMap::from([
+            ("discovery", used(1, one(|sample| sample.discovery.0), hollow.and(&real))),
+            ("run stores", used(1, one(|sample| sample.stores.0), stores)),
+            ("clients", used(1, one(|sample| sample.clients.0), clients)),
+        ]);
+        if options.hollow > 0 {
+            roles.insert("hollow", used(options.hollow, one(|sample| sample.hollow), hollow.turned()));
+        }
+        let mut queries = None;
+        if options.real > 0 {
+            let used = Used::of(options.real, [&before.real, &after.real], all_real, seconds);
+            roles.insert("real", used);
+            roles.insert("real, from discovery", Used::of(options.real, [&[], &[]], real.turned(), seconds));
+            let parts = |sample: &Sample| sample.clients.1["ends"]["parts"].as_u64().unwrap_or(0);
+            let parts_per_s = (parts(after) - parts(before)) as f64 / seconds;
+            queries = Some(Queries {
+                ends: end.ends,
+                parts_per_s,
+                p50_ms: after.clients.1["p50_ms"].as_f64().unwrap_or(0.0),
+                p99_ms: after.clients.1["p99_ms"].as_f64().unwrap_or(0.0),
+                cpu_us_per_part: used.cpu_ms_per_s * 1000.0 / parts_per_s,
+            });
+        }
+        Ok(Outcome {
+            command: options.command(),
+            seconds,
+            start_s: end.start_s,
+            roles,
+            whole_list_bytes: after.discovery.1["whole_list"].as_u64().unwrap_or(0),
+            changes: Changes::new(drawn, &end),
+            queries,
+            ended_in_order: end.in_order,
+        })
+    }
+
+    /// Whether every change was in force everywhere, every query that was begun had a right answer or none, and all ended.
+    pub fn is_well(&self) -> bool {
+        let hollow = self.roles.get("hollow").map_or(0, |used| used.members);
+        let answered =
+            self.queries.as_ref().is_none_or(|queries| queries.ends.whole > 0 && queries.ends.wrong == 0);
+        self.changes.everywhere && self.changes.hollow_equal == hollow && answered && self.ended_in_order
+    }
+
+    /// The tables of a run.
+    pub fn tables(&self) -> String {
+        let head = [
+            "role",
+            "of",
+            "CPU ms/s",
+            "memory MB",
+            "peak MB",
+            "descriptors",
+            "messages in/s",
+            "out/s",
+            "bytes in/s",
+            "out/s",
+        ];
+        let row = |(name, used): (&&str, &Used)| {
+            let megabytes = |bytes: u64| format!("{:.1}", bytes as f64 / 1e6);
+            let mut row =
+                vec![(*name).to_string(), used.members.to_string(), format!("{:.1}", used.cpu_ms_per_s)];
+            row.extend([megabytes(used.memory), megabytes(used.peak_memory), used.descriptors.to_string()]);
+            let rates =
+                [used.messages_in_per_s, used.messages_out_per_s, used.bytes_in_per_s, used.bytes_out_per_s];
+            row.extend(rates.map(|rate| format!("{rate:.0}")));
+            row
+        };
+        let rows: Vec<_> = self.roles.iter().map(row).collect();
+        let mut text = format!("{}\n\n{}\n", self.command, table(&head, &rows));
+        let changes = &self.changes;
+        let times = [("hollow", &changes.hollow), ("real", &changes.real), ("all", &changes.all)];
+        let rows: Vec<Vec<String>> = times
+            .into_iter()
+            .filter_map(|(who, times)| Some((who, (*times)?)))
+            .map(|(who, times)| {
+                let mut row = vec![who.to_string()];
+                row.extend([times.p50, times.p99, times.most].map(|ms| format!("{ms:.1}")));
+                row
+            })
+            .collect();
+        if !rows.is_empty() {
+            text += &table(&["in force at the last, ms", "p50", "p99", "most"], &rows);
+            text.push('\n');
+        }
+        text += &format!(
+            "{} changes, digest {}, in force everywhere: {}; {} hollow aggregators hold the list that they lead to\n",
+            changes.count, changes.digest, changes.everywhere, changes.hollow_equal
+        );
+        text += &format!(
+            "the whole list: {} bytes; the start took {:.1} s\n",
+            self.whole_list_bytes, self.start_s
+        );
+        if let Some(queries) = &self.queries {
+            let ends = queries.ends;
+            text += &format!(
+                "queries: {} asked, {} whole, {} partial, {} refused, {} failed, {} lost, {} wrong; p50 {:.1} ms, p99 \
+                 {:.1} ms; {:.0} parts a second, {:.1} us of a core each\n",
+                ends.asked, ends.whole, ends.partial, ends.refused, ends.failed, ends.lost, ends.wrong, queries.p50_ms,
+                queries.p99_ms, queries.parts_per_s, queries.cpu_us_per_part
+            );
+        }
+        text
+    }
+
+    /// Draws the time of each change as an SVG file.
+    ///
+    /// # Errors
+    /// If the file cannot be written.
+    pub fn chart(&self, path: &Path) -> Result<(), String> {
+        let points: Vec<(f64, f64)> =
+            self.changes.each.iter().enumerate().map(|(no, ms)| (no as f64, *ms)).collect();
+        let root = SVGBackend::new(path, (960, 400)).into_drawing_area();
+        let panel = Panel {
+            title: "From a change to its being in force at the last aggregator",
+            x: "change",
+            unit: "ms",
+        };
+        draw(&root, &panel, &points, false)
+            .and_then(|()| root.present().map_err(|error| error.to_string()))
+            .map_err(|why| format!("{}: {why}", path.display()))
+    }
+}
+
+impl Changes {
+    fn new(drawn: &[Event], end: &End) -> Self {
+        let told = &end.told.told;
+        let hollow: Vec<f64> =
+            end.standing.in_force.iter().skip(1).zip(told).map(|((_, at), told)| at - told).collect();
+        let taken = |no: usize| {
+            let times: Option<Vec<f64>> = end.told.taken.iter().map(|times| times.get(no).copied()).collect();
+            times?.into_iter().reduce(f64::max)
+        };
+        let real: Vec<f64> =
+            told.iter().enumerate().map_while(|(no, told)| Some(taken(no)? - told)).collect();
+        let each: Vec<f64> = match (hollow.is_empty(), real.is_empty()) {
+            (false, false) => hollow.iter().zip(&real).map(|(one, other)| one.max(*other)).collect(),
+            (true, _) => real.clone(),
+            (_, true) => hollow.clone(),
+        };
+        Changes {
+            count: drawn.len(),
+            digest: format!("{:016x}", events::digest(drawn)),
+            everywhere: end.everywhere,
+            hollow_equal: end.equal,
+            hollow: Times::of(hollow.iter().copied()),
+            real: Times::of(real.iter().copied()),
+            all: Times::of(each.iter().copied()),
+            each,
+        }
+    }
+}
+
+/// What a panel of a chart is about.
+pub struct Panel<'a> {
+    /// Its title.
+    pub title: &'a str,
+    /// What is counted from left to right.
+    pub x: &'a str,
+    /// What is counted upwards.
+    pub unit: &'a str,
+}
+
+/// Draws points with a line through them, on plain or logarithmic axes.
+///
+/// # Errors
+/// If it cannot be drawn.
+pub fn draw(
+    area: &DrawingArea<SVGBackend, plotters::coord::Shift>,
+    panel: &Panel,
+    points: &[(f64, f64)],
+    log: bool,
+) -> Result<(), String> {
+    let failed = |error: &dyn std::fmt::Display| error.to_string();
+    area.fill(&WHITE).map_err(|error| failed(&error))?;
+    let most = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).fold(1e-9, f64::max);
+    let (right, top) = (most(|point| point.0) * 1.1, most(|point| point.1) * 1.15);
+    let mut chart = ChartBuilder::on(area);
+    chart.caption(panel.title, ("sans-serif", 15)).margin(8).x_label_area_size(34).y_label_area_size(64);
+    let colour = RGBColor(34, 120, 60);
+    macro_rules! panel {
+        ($x:expr, $y:expr) => {{
+            let mut chart = chart.build_cartesian_2d($x, $y).map_err(|error| failed(&error))?;
+            let mesh = chart
+                .configure_mesh()
+                .x_desc(panel.x)
+                .y_desc(panel.unit)
+                .x_labels(6)
+                .y_labels(6)
+                .y_label_formatter(&|y: &f64| short(*y))
+                .x_label_formatter(&|x: &f64| short(*x))
+                .draw();
+            mesh.map_err(|error| failed(&error))?;
+            let line = LineSeries::new(points.iter().copied(), &colour).point_size(3);
+            chart.draw_series(line).map_err(|error| failed(&error))?;
+        }};
+    }
+    if log {
+        let least = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).fold(f64::INFINITY, f64::min);
+        let (left, bottom) = (least(|point| point.0).max(1e-3) / 1.1, least(|point| point.1).max(1e-3) / 1.5);
+        panel!((left..right).log_scale(), (bottom..top.max(bottom * 2.0)).log_scale());
+    } else {
+        panel!(0.0..right, 0.0..top);
+    }
+    Ok(())
+}
+
+/// A figure in few letters.
+fn short(figure: f64) -> String {
+    let (scaled, letter) = match figure.abs() {
+        size if size >= 1e9 => (figure / 1e9, "G"),
+        size if size >= 1e6 => (figure / 1e6, "M"),
+        size if size >= 1e3 => (figure / 1e3, "k"),
+        _ => (figure, ""),
+    };
+    format!("{}{letter}", (scaled * 100.0).round() / 100.0)
+}
--- /dev/null
+++ b/crates/lab/src/scale/stores.rs
@@ -0,0 +1,134 @@
+//! Run stores as the scale run needs them: one process answers for all that are asked, each part after the same time.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use serde_json::json;
+
+use super::roles::{Attend, Setup, Word};
+use super::wire::{add, Count, Traffic};
+use crate::stores::{frame, value};
+
+struct Stores {
+    executor: Rc<LocalExecutor<'static>>,
+    work: Duration,
+    seed: u64,
+    count: Count,
+    connections: Cell<u64>,
+    parts: Cell<u64>,
+}
+
+type Due = (Instant, Vec<u8>);
+
+impl Stores {
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let stores = self.clone();
+            let serving = async move {
+                stores.connections.set(stores.connections.get() + 1);
+                // A connection that ends in whatever way is no matter of the run store's.
+                let _ = stores.serve(stream).await;
+            };
+            self.executor.spawn(serving).detach();
+        }
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let (sender, answers) = async_channel::unbounded();
+        self.executor.spawn(write(stream.clone(), answers, self.count.clone())).detach();
+        let (mut buffer, mut bytes) = (Vec::new(), [0; 16 * 1024]);
+        loop {
+            let read = stream.read(&mut bytes).await?;
+            if read == 0 {
+                return Ok(());
+            }
+            add(&self.count, Traffic { bytes_in: read as u64, ..Traffic::default() });
+            buffer.extend_from_slice(&bytes[..read]);
+            let mut at = 0;
+            while let Some(length) =
+                buffer[at..].first_chunk().map(|length| u32::from_le_bytes(*length) as usize)
+            {
+                let Some(rest) = buffer.get(at + 4..at + 4 + length) else { break };
+                add(&self.count, Traffic { messages_in: 1, ..Traffic::default() });
+                self.take(rest, &sender)?;
+                at += 4 + length;
+            }
+            buffer.drain(..at);
+        }
+    }
+
+    fn take(&self, bytes: &[u8], answers: &Sender<Due>) -> io::Result<()> {
+        let now = Instant::now();
+        let answer = match bytes.first() {
+            Some(b'1') => {
+                let head = bytes[1..].split(|byte| *byte == b'\n').next().unwrap_or_default();
+                let head = std::str::from_utf8(head).map_err(|_| io::ErrorKind::InvalidData)?;
+                let part = head.split(' ').next().unwrap_or_default();
+                self.parts.set(self.parts.get() + 1);
+                let answer = format!("{part} S 7 util=0.30,qps=3\n{}", value(self.seed, part));
+                (now + self.work, frame(b'5', answer.as_bytes()))
+            }
+            Some(b'3') => (now, frame(b'3', b"S")),
+            Some(b'4') => (now, frame(b'4', b"util=0.30,qps=3")),
+            // A part that is given up is answered all the same: its answer may be under way.
+            _ => return Ok(()),
+        };
+        answers.try_send(answer).map_err(io::Error::other)
+    }
+}
+
+/// Writes answers in the order of their parts, each when it is due.
+async fn write(mut stream: TcpStream, answers: Receiver<Due>, count: Count) {
+    let mut next = answers.recv().await.ok();
+    while let Some((due, mut bytes)) = next {
+        Timer::at(due).await;
+        let (mut messages, now) = (1, Instant::now());
+        next = answers.try_recv().ok();
+        while let Some((_, more)) = next.take_if(|(due, _)| *due <= now) {
+            bytes.extend_from_slice(&more);
+            messages += 1;
+            next = answers.try_recv().ok();
+        }
+        if stream.write_all(&bytes).await.is_err() {
+            return;
+        }
+        add(&count, Traffic { messages_out: messages, bytes_out: bytes.len() as u64, ..Traffic::default() });
+        if next.is_none() {
+            next = answers.recv().await.ok();
+        }
+    }
+}
+
+/// Starts them; their address.
+pub async fn start(
+    setup: &Setup,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> io::Result<(Vec<SocketAddr>, Attend)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let stores = Rc::new(Stores {
+        executor: executor.clone(),
+        work: Duration::from_secs_f64(setup.work_ms / 1000.0),
+        seed: setup.seed,
+        count: Count::default(),
+        connections: Cell::new(0),
+        parts: Cell::new(0),
+    });
+    executor.spawn(stores.clone().accept(listener)).detach();
+    let attend = Box::new(move |word| match word {
+        Word::Begin(_) => json!(true),
+        Word::Mark | Word::End => {
+            json!({"traffic": stores.count.get(), "parts": stores.parts.get(), "connections": stores.connections.get()})
+        }
+    });
+    Ok((vec![address], attend))
+}
--- /dev/null
+++ b/crates/lab/src/scale/sweep.rs
@@ -0,0 +1,293 @@
+//! Runs of growing size, one size at a time, and the slopes that they give.
+
+use std::path::Path;
+use std::sync::atomic::AtomicBool;
+
+use clap::ValueEnum;
+use plotters::prelude::*;
+use serde::Serialize;
+
+use super::outcome::{draw, Outcome, Panel, Used};
+use super::{bounds, play, Options};
+
+/// What grows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Axis {
+    /// Hollow aggregators.
+    Hollow,
+    /// Lines of the list.
+    RunStores,
+    /// Changes a second.
+    Changes,
+    /// Parts out of each real aggregator.
+    InFlight,
+    /// One after the other.
+    All,
+}
+
+/// A figure against a size, for a fit.
+#[derive(Debug, Serialize)]
+struct Series {
+    name: String,
+    x: String,
+    unit: String,
+    command: String,
+    fixed: String,
+    build: String,
+    points: Vec<[f64; 2]>,
+}
+
+/// All series, as TOML has them.
+#[derive(Debug, Default, Serialize)]
+struct Slopes {
+    series: Vec<Series>,
+}
+
+/// A figure of a run; `None` where it has none.
+type Figure = fn(&Options, &Outcome) -> Option<f64>;
+
+/// A figure, its name and its unit.
+type Named = (&'static str, &'static str, Figure);
+
+fn named(name: &'static str, unit: &'static str, figure: Figure) -> Named {
+    (name, unit, figure)
+}
+
+fn role(run: &Outcome, name: &str, of: impl Fn(&Used) -> f64) -> Option<f64> {
+    run.roles.get(name).map(of)
+}
+
+/// Of hollow aggregators, for each of them.
+fn each(run: &Outcome, of: impl Fn(&Used) -> f64) -> Option<f64> {
+    role(run, "hollow", |used| of(used) / used.members as f64)
+}
+
+fn discovery_cpu(_: &Options, run: &Outcome) -> Option<f64> {
+    role(run, "discovery", |used| used.cpu_ms_per_s)
+}
+
+fn discovery_memory(_: &Options, run: &Outcome) -> Option<f64> {
+    role(run, "discovery", |used| used.memory as f64)
+}
+
+fn in_force(_: &Options, run: &Outcome) -> Option<f64> {
+    run.changes.all.map(|times| times.p99)
+}
+
+fn cpu_per_part(_: &Options, run: &Outcome) -> Option<f64> {
+    Some(run.queries.as_ref()?.cpu_us_per_part)
+}
+
+fn real_memory(options: &Options, run: &Outcome) -> Option<f64> {
+    role(run, "real", |used| used.memory as f64 / options.real as f64)
+}
+
+impl Axis {
+    fn x(self) -> &'static str {
+        match self {
+            Axis::Hollow => "hollow aggregators",
+            Axis::RunStores => "run stores listed",
+            Axis::Changes => "changes a second",
+            Axis::InFlight => "parts in flight at an aggregator",
+            Axis::All => "sizes",
+        }
+    }
+
+    /// The end of the names of its series.
+    fn by(self) -> &'static str {
+        match self {
+            Axis::Hollow => "by-aggregators",
+            Axis::RunStores => "by-run-stores",
+            Axis::Changes => "by-changes",
+            Axis::InFlight => "by-in-flight",
+            Axis::All => "by-size",
+        }
+    }
+
+    fn sizes(self) -> &'static [f64] {
+        match self {
+            Axis::Hollow => &[10.0, 30.0, 100.0, 300.0, 1000.0],
+            Axis::RunStores => &[60.0, 200.0, 600.0, 2000.0, 6000.0],
+            Axis::Changes => &[0.5, 1.0, 2.0, 5.0, 10.0, 20.0],
+            Axis::InFlight => &[10.0, 30.0, 100.0, 300.0, 1000.0],
+            Axis::All => &[],
+        }
+    }
+
+    fn sized(self, base: &Options, size: f64) -> Options {
+        let mut options = base.clone();
+        match self {
+            Axis::Hollow => options.hollow = size as usize,
+            Axis::RunStores => options.run_stores = size as usize,
+            Axis::Changes => options.changes = size,
+            Axis::InFlight => options.in_flight = size as usize,
+            Axis::All => {}
+        }
+        options
+    }
+
+    /// What is held, in words.
+    fn fixed(self, base: &Options) -> String {
+        let all = [
+            (Axis::RunStores, format!("{} run stores", base.run_stores)),
+            (Axis::Hollow, format!("{} hollow aggregators", base.hollow)),
+            (Axis::InFlight, format!("{} parts in flight at each of {} real", base.in_flight, base.real)),
+            (Axis::Changes, format!("{} changes a second", base.changes)),
+        ];
+        let held: Vec<String> =
+            all.into_iter().filter(|(axis, _)| *axis != self).map(|(_, text)| text).collect();
+        held.join(", ")
+    }
+
+    fn figures(self) -> Vec<Named> {
+        match self {
+            Axis::Hollow => vec![
+                named("discovery-cpu", "ms of a core a second", discovery_cpu),
+                named("discovery-calls", "calls a second", |_, run| {
+                    role(run, "discovery", |used| used.messages_in_per_s)
+                }),
+                named("discovery-bytes-out", "bytes a second", |_, run| {
+                    role(run, "discovery", |used| used.bytes_out_per_s)
+                }),
+                named("discovery-memory", "bytes", discovery_memory),
+                named("discovery-descriptors", "descriptors", |_, run| {
+                    role(run, "discovery", |used| used.descriptors as f64)
+                }),
+                named("change-in-force-p50", "ms to the last aggregator", |_, run| {
+                    run.changes.all.map(|times| times.p50)
+                }),
+                named("change-in-force-p99", "ms to the last aggregator", in_force),
+            ],
+            Axis::RunStores => vec![
+                named("control-cpu-per-change", "us of a core a change and aggregator", |options, run| {
+                    each(run, |used| used.cpu_ms_per_s * 1000.0 / options.changes)
+                }),
+                named("control-memory", "bytes an aggregator", |_, run| each(run, |used| used.memory as f64)),
+                named("whole-list", "bytes", |_, run| Some(run.whole_list_bytes as f64)),
+                named("discovery-memory", "bytes", discovery_memory),
+                named("serving-cpu-per-part", "us of a core a part", cpu_per_part),
+                named("serving-memory", "bytes an aggregator", real_memory),
+                named("change-in-force-p99", "ms to the last aggregator", in_force),
+            ],
+            Axis::Changes => vec![
+                named("control-cpu", "us of a core a second and aggregator", |_, run| {
+                    each(run, |used| used.cpu_ms_per_s * 1000.0)
+                }),
+                named("control-bytes", "bytes a second and aggregator, both ways", |_, run| {
+                    each(run, |used| used.bytes_in_per_s + used.bytes_out_per_s)
+                }),
+                named("control-messages", "messages a second and aggregator, both ways", |_, run| {
+                    each(run, |used| used.messages_in_per_s + used.messages_out_per_s)
+                }),
+                named("discovery-cpu", "ms of a core a second", discovery_cpu),
+                named("change-in-force-p99", "ms to the last aggregator", in_force),
+            ],
+            Axis::InFlight => vec![
+                named("serving-cpu", "ms of a core a second and aggregator", |options, run| {
+                    role(run, "real", |used| used.cpu_ms_per_s / options.real as f64)
+                }),
+                named("serving-cpu-per-part", "us of a core a part", cpu_per_part),
+                named("serving-parts", "parts a second, all aggregators", |_, run| {
+                    Some(run.queries.as_ref()?.parts_per_s)
+                }),
+                named("serving-latency-p99", "ms", |_, run| Some(run.queries.as_ref()?.p99_ms)),
+                named("serving-memory", "bytes an aggregator", real_memory),
+                named("serving-descriptors", "descriptors an aggregator", |options, run| {
+                    role(run, "real", |used| used.descriptors as f64 / options.real as f64)
+                }),
+                named("run-store-bytes-per-part", "bytes a part, both ways", |_, run| {
+                    let parts = run.queries.as_ref()?.parts_per_s;
+                    role(run, "run stores", |used| (used.bytes_in_per_s + used.bytes_out_per_s) / parts)
+                }),
+            ],
+            Axis::All => Vec::new(),
+        }
+    }
+}
+
+/// Runs all sizes of an axis, or of all; says whether all was well.
+///
+/// # Errors
+/// If slopes or charts cannot be written, or it is told to end.
+pub fn run(base: &Options, axis: Axis, told_to_end: &AtomicBool) -> Result<bool, String> {
+    let axes = match axis {
+        Axis::All => vec![Axis::Hollow, Axis::RunStores, Axis::Changes, Axis::InFlight],
+        one => vec![one],
+    };
+    let (mut slopes, mut outcomes, mut well) = (Slopes::default(), Vec::new(), true);
+    for axis in axes {
+        let mut runs = Vec::new();
+        for &size in axis.sizes() {
+            let options = axis.sized(base, size);
+            if let Err(why) = bounds::check(&options) {
+                println!("{} {}: not run: {why}\n", size, axis.x());
+                continue;
+            }
+            match play(&options, told_to_end) {
+                Ok(outcome) => {
+                    println!("{}", outcome.tables());
+                    well &= outcome.is_well();
+                    runs.push((size, options, outcome));
+                }
+                Err(why) if told_to_end.load(std::sync::atomic::Ordering::Acquire) => return Err(why),
+                Err(why) => {
+                    println!("{} {}: failed: {why}\n", size, axis.x());
+                    well = false;
+                }
+            }
+        }
+        for (name, unit, figure) in axis.figures() {
+            let point = |(size, options, outcome): &(f64, Options, Outcome)| {
+                figure(options, outcome).filter(|y| y.is_finite()).map(|y| [*size, y])
+            };
+            let points: Vec<_> = runs.iter().filter_map(point).collect();
+            if points.is_empty() {
+                continue;
+            }
+            slopes.series.push(Series {
+                name: format!("{name}-{}", axis.by()),
+                x: axis.x().to_string(),
+                unit: unit.to_string(),
+                command: format!("{} --sweep {}", base.command(), name_of(axis)),
+                fixed: axis.fixed(base),
+                build: base.build.clone(),
+                points,
+            });
+        }
+        outcomes.extend(runs.into_iter().map(|(_, _, outcome)| outcome));
+    }
+    let text = toml::to_string(&slopes).map_err(|error| error.to_string())?;
+    let write = |path: &Path, text: &str| {
+        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
+    };
+    match &base.slopes {
+        Some(path) => write(path, &text)?,
+        None => print!("{text}"),
+    }
+    if let Some(path) = &base.json {
+        let text = serde_json::to_string_pretty(&outcomes).map_err(|error| error.to_string())?;
+        write(path, &(text + "\n"))?;
+    }
+    if let Some(path) = &base.chart {
+        chart(path, &slopes)?;
+    }
+    Ok(well)
+}
+
+fn name_of(axis: Axis) -> String {
+    axis.to_possible_value().map(|value| value.get_name().to_string()).unwrap_or_default()
+}
+
+/// Draws all series, a panel each.
+fn chart(path: &Path, slopes: &Slopes) -> Result<(), String> {
+    const COLUMNS: usize = 4;
+    let rows = slopes.series.len().div_ceil(COLUMNS).max(1);
+    let root = SVGBackend::new(path, (1400, 260 * rows as u32)).into_drawing_area();
+    let failed = |why: String| format!("{}: {why}", path.display());
+    for (area, series) in root.split_evenly((rows, COLUMNS)).iter().zip(&slopes.series) {
+        let points: Vec<_> = series.points.iter().map(|[x, y]| (*x, *y)).collect();
+        let panel = Panel { title: &series.name, x: &series.x, unit: &series.unit };
+        draw(area, &panel, &points, true).map_err(failed)?;
+    }
+    root.present().map_err(|error| failed(error.to_string()))
+}
--- /dev/null
+++ b/crates/lab/src/scale/wire.rs
@@ -0,0 +1,106 @@
+//! HTTP on a connection of a stand-in, with all that passes counted.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use ironpaddle::http::parse::{Kind, Message, Parser};
+use serde::{Deserialize, Serialize};
+
+/// What passed between a stand-in and its neighbours of a kind.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct Traffic {
+    /// Messages that came.
+    pub messages_in: u64,
+    /// Messages that went.
+    pub messages_out: u64,
+    /// Bytes that came.
+    pub bytes_in: u64,
+    /// Bytes that went.
+    pub bytes_out: u64,
+}
+
+impl Traffic {
+    /// What passed since an earlier moment.
+    pub fn since(&self, earlier: &Traffic) -> Traffic {
+        Traffic {
+            messages_in: self.messages_in - earlier.messages_in,
+            messages_out: self.messages_out - earlier.messages_out,
+            bytes_in: self.bytes_in - earlier.bytes_in,
+            bytes_out: self.bytes_out - earlier.bytes_out,
+        }
+    }
+
+    /// The same, as the other side sees it.
+    pub fn turned(&self) -> Traffic {
+        Traffic {
+            messages_in: self.messages_out,
+            messages_out: self.messages_in,
+            bytes_in: self.bytes_out,
+            bytes_out: self.bytes_in,
+        }
+    }
+
+    /// Both together.
+    pub fn and(&self, other: &Traffic) -> Traffic {
+        Traffic {
+            messages_in: self.messages_in + other.messages_in,
+            messages_out: self.messages_out + other.messages_out,
+            bytes_in: self.bytes_in + other.bytes_in,
+            bytes_out: self.bytes_out + other.bytes_out,
+        }
+    }
+}
+
+/// Counts that all connections of a kind share.
+pub type Count = Rc<Cell<Traffic>>;
+
+/// Counts some more.
+pub fn add(count: &Count, more: Traffic) {
+    count.set(count.get().and(&more));
+}
+
+/// A connection.
+pub struct Wire {
+    stream: TcpStream,
+    parser: Parser,
+    count: Count,
+}
+
+impl Wire {
+    /// A connection on which such messages come.
+    pub fn new(stream: TcpStream, kind: Kind, count: Count) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Wire { stream, parser: Parser::new(kind), count })
+    }
+
+    /// The next message; `None` at the end of the connection.
+    pub async fn read(&mut self) -> io::Result<Option<Message>> {
+        let mut bytes = [0; 16 * 1024];
+        loop {
+            let next = self.parser.next_message();
+            if let Some(message) =
+                next.map_err(|bad| io::Error::new(io::ErrorKind::InvalidData, bad.to_string()))?
+            {
+                add(&self.count, Traffic { messages_in: 1, ..Traffic::default() });
+                return Ok(Some(message));
+            }
+            match self.stream.read(&mut bytes).await? {
+                0 => return Ok(None),
+                read => {
+                    add(&self.count, Traffic { bytes_in: read as u64, ..Traffic::default() });
+                    self.parser.push(&bytes[..read]);
+                }
+            }
+        }
+    }
+
+    /// Writes a message.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await?;
+        add(&self.count, Traffic { messages_out: 1, bytes_out: bytes.len() as u64, ..Traffic::default() });
+        Ok(())
+    }
+}
--- a/crates/lab/src/stores.rs
+++ b/crates/lab/src/stores.rs
@@ -305,7 +305,8 @@
     }
 }
 
-fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
+/// A frame of a letter and the rest.
+pub fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
     let mut frame = (rest.len() as u32 + 1).to_le_bytes().to_vec();
     frame.push(letter);
     frame.extend_from_slice(rest);
--- /dev/null
+++ b/crates/lab/tests/scale.rs
@@ -0,0 +1,207 @@
+//! Small scale runs. What is judged are outcomes, not times: changes are in force everywhere, queries are answered, and
+//! nothing is left running.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+const SMALL: [&str; 12] = [
+    "--run-stores",
+    "40",
+    "--hollow",
+    "12",
+    "--real",
+    "2",
+    "--in-flight",
+    "12",
+    "--changes",
+    "12",
+    "--work",
+    "5",
+];
+
+fn scale(more: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ironpaddle-lab"));
+    command.arg("scale").args(more);
+    command
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("ironpaddle-scale-test-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn results(path: &Path) -> Value {
+    serde_json::from_slice(&std::fs::read(path).unwrap()).unwrap()
+}
+
+/// Processes that another started, and those that they started.
+fn offspring(of: u32) -> Vec<u32> {
+    let mut found = Vec::new();
+    for process in std::fs::read_dir("/proc").unwrap().filter_map(Result::ok) {
+        let Some(id) = process.file_name().to_str().and_then(|name| name.parse::<u32>().ok()) else {
+            continue;
+        };
+        // One may end while it is looked at.
+        let stat = std::fs::read_to_string(process.path().join("stat")).unwrap_or_default();
+        let parent = stat.rsplit(") ").next().and_then(|rest| rest.split(' ').nth(1)?.parse().ok());
+        if parent == Some(of) {
+            found.push(id);
+            found.extend(offspring(id));
+        }
+    }
+    found
+}
+
+/// Whether a process is there and is no zombie.
+fn runs(id: u32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    stat.rsplit(") ").next().is_some_and(|rest| !rest.is_empty() && !rest.starts_with('Z'))
+}
+
+fn wait_until(limit: Duration, is_so: impl Fn() -> bool) -> bool {
+    let began = Instant::now();
+    while !is_so() {
+        if began.elapsed() > limit {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    true
+}
+
+/// Starts a long run; its process and all of its own, once all are there.
+fn started() -> (Child, Vec<u32>) {
+    let long = [&SMALL[..], &["--seconds", "60"]].concat();
+    let mut command = scale(&long);
+    let run = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap();
+    // Four stand-ins and two real aggregators.
+    assert!(wait_until(Duration::from_secs(20), || offspring(run.id()).len() == 6));
+    let all = offspring(run.id());
+    (run, all)
+}
+
+#[test]
+fn every_change_is_in_force_at_all_aggregators_in_the_end() {
+    let folder = folder("small");
+    let (json, chart) = (folder.join("results.json"), folder.join("results.svg"));
+    let written = ["--seconds", "2", "--json", json.to_str().unwrap(), "--chart", chart.to_str().unwrap()];
+    let run = scale(&[&SMALL[..], &written].concat()).output().unwrap();
+    let said = String::from_utf8_lossy(&run.stdout).into_owned();
+    assert!(run.status.success(), "{said}\n{}", String::from_utf8_lossy(&run.stderr));
+    let results = results(&json);
+    let changes = &results["changes"];
+    assert_eq!(changes["count"], 24, "{said}");
+    assert_eq!(changes["everywhere"], true, "{said}");
+    assert_eq!(changes["hollow_equal"], 12, "each holds the very list that the events lead to: {said}");
+    assert_eq!(changes["each"].as_array().unwrap().len(), 24, "each change has its time: {said}");
+    let ends = &results["queries"]["ends"];
+    assert!(ends["whole"].as_u64() > Some(0), "{said}");
+    assert_eq!(ends["wrong"], 0, "{said}");
+    assert_eq!(results["ended_in_order"], true, "{said}");
+    for role in ["discovery", "hollow", "real", "run stores", "clients"] {
+        let used = &results["roles"][role];
+        for what in ["memory", "descriptors", "messages_in_per_s", "bytes_out_per_s"] {
+            assert!(used[what].as_f64() > Some(0.0), "{role}, {what}: {said}");
+        }
+    }
+    let chart = std::fs::read_to_string(&chart).unwrap();
+    assert_eq!(chart.matches("<circle").count(), 24, "a point for each change");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn the_same_seed_gives_the_same_events_and_another_gives_others() {
+    let folder = folder("seeds");
+    let digest = |name: &str, seed: &str| {
+        let json = folder.join(name);
+        let sizes =
+            ["--run-stores", "30", "--hollow", "2", "--real", "0", "--changes", "40", "--seconds", "0.5"];
+        let more = ["--seed", seed, "--json", json.to_str().unwrap()];
+        let run = scale(&[&sizes[..], &more].concat()).output().unwrap();
+        assert!(run.status.success(), "{}", String::from_utf8_lossy(&run.stderr));
+        results(&json)["changes"]["digest"].as_str().unwrap().to_string()
+    };
+    let (first, again, other) = (digest("a", "7"), digest("b", "7"), digest("c", "8"));
+    assert_eq!(first, again);
+    assert_ne!(first, other);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn a_signal_ends_all_that_a_run_has_started() {
+    for (signal, at_once) in [("TERM", false), ("KILL", true)] {
+        let (mut run, all) = started();
+        let sent = Command::new("kill").args(["-s", signal, &run.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+        let code = run.wait().unwrap().code();
+        assert_eq!(code, if at_once { None } else { Some(1) }, "{signal}");
+        // Where it could not end them itself, they notice.
+        let limit = if at_once { Duration::from_secs(10) } else { Duration::ZERO };
+        assert!(wait_until(limit, || !all.iter().any(|id| runs(*id))), "{signal}");
+    }
+}
+
+#[test]
+fn what_cannot_be_run_is_refused_with_its_reason() {
+    for (options, reason) in [
+        (&["--run-stores", "0"][..], "--run-stores must be at least 1"),
+        (&["--hollow", "0", "--real", "0"], "together must be at least 1"),
+        (&["--in-flight", "0"], "--in-flight must be at least 1"),
+        (&["--changes", "-1"], "--changes must be from 0"),
+        (&["--changes", "NaN"], "--changes must be from 0"),
+        (&["--seconds", "0"], "--seconds must be above 0"),
+        (&["--seed", "x"], "--seed"),
+        (&["--sweep", "colours"], "--sweep"),
+        (&["--slopes", "x.toml"], "--sweep"),
+        (&["--real", "400"], "404 processes are wanted"),
+        (&["--run-stores", "100000000"], "GiB of memory are wanted"),
+    ] {
+        let run = scale(options).output().unwrap();
+        let said = String::from_utf8_lossy(&run.stderr);
+        assert_eq!(run.status.code(), Some(2), "{options:?}: {said}");
+        assert!(said.contains(reason), "{options:?}: {said}");
+    }
+}
+
+#[test]
+fn a_run_that_wants_more_descriptors_than_there_are_is_refused_and_leaves_the_limit_alone() {
+    let run = Command::new("sh")
+        .args(["-c", "ulimit -n 200; \"$0\" scale --hollow 300 --real 0; code=$?; ulimit -n; exit $code"])
+        .arg(env!("CARGO_BIN_EXE_ironpaddle-lab"))
+        .output()
+        .unwrap();
+    let said = String::from_utf8_lossy(&run.stderr);
+    assert_eq!(run.status.code(), Some(2), "{said}");
+    assert!(said.contains("discovery would want 365 descriptors, and a process may have 200"), "{said}");
+    assert_eq!(String::from_utf8_lossy(&run.stdout), "200\n");
+}
+
+#[test]
+fn a_sweep_gives_the_slopes_of_its_sizes() {
+    let folder = folder("sweep");
+    let slopes = folder.join("slopes.toml");
+    let sizes = ["--run-stores", "20", "--hollow", "2", "--real", "0", "--seconds", "0.5"];
+    let more = ["--sweep", "changes", "--slopes", slopes.to_str().unwrap(), "--build", "as tested"];
+    let run = scale(&[&sizes[..], &more].concat()).output().unwrap();
+    assert!(run.status.success(), "{}", String::from_utf8_lossy(&run.stderr));
+    let text = std::fs::read_to_string(&slopes).unwrap();
+    let slopes: toml::Table = text.parse().unwrap();
+    let series = slopes["series"].as_array().unwrap();
+    let control = series.iter().find(|series| series["name"].as_str() == Some("control-messages-by-changes"));
+    let control = control.expect("a series of messages");
+    assert_eq!(control["x"].as_str(), Some("changes a second"));
+    assert_eq!(control["build"].as_str(), Some("as tested"));
+    assert_eq!(
+        control["fixed"].as_str(),
+        Some("20 run stores, 2 hollow aggregators, 100 parts in flight at each of 0 real")
+    );
+    let points = control["points"].as_array().unwrap();
+    let xs: Vec<f64> = points.iter().map(|point| point[0].as_float().unwrap()).collect();
+    assert_eq!(xs, [0.5, 1.0, 2.0, 5.0, 10.0, 20.0]);
+    assert!(points.last().unwrap()[1].as_float() > Some(0.0), "{text}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -371,6 +371,11 @@
         }
     }
 
+    /// Whether something that was told waits for the next step.
+    pub fn has_news(&self) -> bool {
+        self.core.borrow().has_news()
+    }
+
     fn wake(&self) {
         let _ = self.signal.0.try_send(());
     }
@@ -382,7 +387,7 @@
             let Some(order) = order else { break };
             self.carry(order);
         }
-        if self.core.borrow().has_news() {
+        if self.has_news() {
             self.wake();
         }
     }
