--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -57,6 +57,9 @@
     /// Real aggregators: processes of the program, under load.
     #[arg(long, default_value_t = 1)]
     real: usize,
+    /// Relays between discovery and the aggregators, each with its share of them; none where aggregators ask discovery.
+    #[arg(long, default_value_t = 0)]
+    relays: usize,
     /// Parts that each real aggregator has out at once.
     #[arg(long, default_value_t = 100)]
     in_flight: usize,
@@ -84,7 +87,7 @@
     /// Run again and again, with one size after the other grown and the rest as named, for slopes.
     #[arg(long, value_enum, num_args = 0..=1, default_missing_value = "all")]
     sweep: Option<sweep::Axis>,
-    /// Write the slopes of a sweep into this TOML file; without it, they are printed.
+    /// Write the slopes of a sweep into this TOML file, beside those of other sweeps; without it, they are printed.
     #[arg(long, requires = "sweep")]
     slopes: Option<PathBuf>,
     /// What was built, to be noted with slopes.
@@ -138,11 +141,12 @@
     /// The run's command.
     fn command(&self) -> String {
         format!(
-            "ironpaddle-lab scale --run-stores {} --hollow {} --real {} --in-flight {} --asked {} --work {} --changes {} \
-             --seconds {} --seed {}",
+            "ironpaddle-lab scale --run-stores {} --hollow {} --real {} --relays {} --in-flight {} --asked {} --work {} \
+             --changes {} --seconds {} --seed {}",
             self.run_stores,
             self.hollow,
             self.real,
+            self.relays,
             self.in_flight,
             self.asked,
             self.work,
@@ -199,6 +203,7 @@
     clients: Option<Process>,
     aggregators: Vec<Aggregator>,
     hollow: Process,
+    relays: Vec<Process>,
     discovery: Process,
     stores: Process,
 }
@@ -210,6 +215,7 @@
     stores: (Usage, Value),
     discovery: (Usage, Value),
     hollow: Usage,
+    relays: Vec<(Usage, Value)>,
     clients: (Usage, Value),
     real: Vec<Usage>,
 }
@@ -220,15 +226,22 @@
         let stores = Process::start(Role::Stores, &setup)?;
         setup.stores = stores.addresses.first().copied();
         let discovery = Process::start(Role::Discovery, &setup)?;
-        setup.discovery = discovery.addresses.clone();
+        let upstream = discovery.addresses.first().copied();
+        let relayed = Setup { upstream, ..setup.clone() };
+        let relays = (0..options.relays).map(|_| Process::start(Role::Discovery, &relayed));
+        let relays = relays.collect::<Result<Vec<_>, _>>()?;
+        let told_by: Vec<_> = if relays.is_empty() { vec![&discovery] } else { relays.iter().collect() };
+        let listings: Vec<_> = told_by.iter().map(|process| process.addresses.clone()).collect();
+        setup.discovery = listings.iter().filter_map(|addresses| addresses.first().copied()).collect();
         let hollow = Process::start(Role::Hollow, &setup)?;
-        let mut fleet =
-            Fleet { told_to_end, clients: None, aggregators: Vec::new(), hollow, discovery, stores };
+        let (clients, aggregators) = (None, Vec::new());
+        let mut fleet = Fleet { told_to_end, clients, aggregators, hollow, relays, discovery, stores };
         let program = std::env::current_exe().map_err(|error| error.to_string())?;
         for no in 0..options.real {
             fleet.goes_on()?;
+            let listing = listings[no % listings.len()][no + 1];
             let config = json!({"name": format!("scale-{}-{no}", std::process::id()),
-                "seed": format!("{:x}", options.seed + no as u64), "discovery": setup.discovery[no + 1].to_string(),
+                "seed": format!("{:x}", options.seed + no as u64), "discovery": listing.to_string(),
                 "limits": {"sockets": bounds::sockets(options)}, "settings": setup.settings, "api": "platform"});
             let started = Aggregator::start(&program, &folder().join(format!("n{no}")), config);
             fleet.aggregators.push(started.map_err(|error| error.to_string())?);
@@ -245,6 +258,30 @@
         Ok(())
     }
 
+    /// The processes that tell aggregators the list.
+    fn told_by(&mut self) -> &mut [Process] {
+        if self.relays.is_empty() {
+            std::slice::from_mut(&mut self.discovery)
+        } else {
+            &mut self.relays
+        }
+    }
+
+    /// What is known of when changes were told, and taken in.
+    fn told(&mut self) -> Result<Told, String> {
+        let mut told: Told = read(self.discovery.tell(Word::End)?)?;
+        for relay in &mut self.relays {
+            let theirs: Told = read(relay.tell(Word::End)?)?;
+            // A real aggregator asks one of them alone.
+            for (known, times) in told.taken.iter_mut().zip(theirs.taken) {
+                if !times.is_empty() {
+                    *known = times;
+                }
+            }
+        }
+        Ok(told)
+    }
+
     fn sleep(&self, span: Duration) -> Result<(), String> {
         let until = Instant::now() + span;
         while Instant::now() < until {
@@ -259,8 +296,11 @@
         let began = Instant::now();
         loop {
             let standing: hollow::Standing = read(self.hollow.tell(Word::Mark)?)?;
-            let mark = self.discovery.tell(Word::Mark)?;
-            let taken: Vec<u64> = read(mark["taken"].clone())?;
+            let mut taken = vec![0; options.real];
+            for process in self.told_by() {
+                let theirs: Vec<u64> = read(process.tell(Word::Mark)?["taken"].clone())?;
+                taken.iter_mut().zip(theirs).for_each(|(known, version)| *known = version.max(*known));
+            }
             let place = (version - events::FIRST_INDEX) as usize;
             let hollow = standing.in_force.get(place).map_or(0, |(count, _)| *count);
             if hollow == options.hollow && taken.iter().all(|taken| *taken >= version) {
@@ -290,6 +330,9 @@
         if let Some(clients) = &mut self.clients {
             sample.clients = (usage_of(clients)?, clients.tell(Word::Mark)?);
         }
+        for relay in &mut self.relays {
+            sample.relays.push((usage_of(relay)?, relay.tell(Word::Mark)?));
+        }
         sample.discovery.1 = self.discovery.tell(Word::Mark)?;
         sample.stores.1 = self.stores.tell(Word::Mark)?;
         Ok(sample)
@@ -321,7 +364,13 @@
     let began = clock.now();
     let mut fleet = Fleet::start(options, told_to_end)?;
     if !fleet.all_have(options, events::FIRST_INDEX, FIRST_LISTS)? {
-        return Err(format!("not all aggregators had their first list within {} s", FIRST_LISTS.as_secs()));
+        let standing: hollow::Standing = read(fleet.hollow.tell(Word::Mark)?)?;
+        return Err(format!(
+            "not all aggregators had their first list within {} s: {} of {} hollow ones had",
+            FIRST_LISTS.as_secs(),
+            standing.listed,
+            options.hollow
+        ));
     }
     let start_s = (clock.now() - began) / 1000.0;
     if let Some(clients) = &mut fleet.clients {
@@ -338,7 +387,7 @@
     let last = events::FIRST_INDEX + drawn.len() as u64;
     let everywhere = fleet.all_have(options, last, LAST_CHANGES)?;
     let standing: hollow::Standing = read(fleet.hollow.tell(Word::End)?)?;
-    let told: Told = read(fleet.discovery.tell(Word::End)?)?;
+    let told = fleet.told()?;
     let mut listed = events::first_list(options.run_stores);
     drawn.iter().for_each(|event| events::apply(&mut listed, event));
     let wanted = events::digest_entries(&listed, begin);
--- a/crates/lab/src/scale/bounds.rs
+++ b/crates/lab/src/scale/bounds.rs
@@ -12,16 +12,16 @@
 const OTHER_DESCRIPTORS: usize = 64;
 /// Bytes of a hollow aggregator, and for each line that it knows; measured, rounded up.
 const HOLLOW: usize = 96 * 1024;
-const HOLLOW_LINE: usize = 1600;
+const HOLLOW_LINE: usize = 1500;
 /// The same of a real one, and for each part that is out.
 const REAL: usize = 16 << 20;
-const REAL_LINE: usize = 3200;
-const REAL_PART: usize = 8 * 1024;
+const REAL_LINE: usize = 2500;
+const REAL_PART: usize = 16 * 1024;
 /// Bytes of a stand-in, and for each line of the list.
 const STAND_IN: usize = 16 << 20;
 const STAND_IN_LINE: usize = 1200;
 /// Bytes that two stand-ins and the kernel take for a connection.
-const CONNECTION: usize = 96 * 1024;
+const CONNECTION: usize = 64 * 1024;
 /// Descriptors of which the program gives a fifth to run stores; so many beside are for clients.
 const SHARE_OF_STORES: usize = 5;
 const FOR_CLIENTS: usize = 512;
@@ -49,7 +49,7 @@
     if let Some((_, why)) = wrong.iter().find(|(wrong, _)| *wrong) {
         return Err((*why).to_string());
     }
-    let processes = options.real + STAND_INS;
+    let processes = options.real + options.relays + STAND_INS;
     if processes > MOST_PROCESSES {
         return Err(format!("{processes} processes are wanted, and a run may start {MOST_PROCESSES}"));
     }
@@ -71,10 +71,12 @@
 fn descriptors(options: &Options) -> Result<(), String> {
     let limit = getrlimit(Resource::Nofile).current.map_or(usize::MAX, |limit| limit as usize);
     let queries = options.queries().0;
+    let told = options.hollow.div_ceil(options.relays.max(1));
     // Run stores have up to four connections where one falls silent, which none does here.
     let wanted = [
         ("the run stores", options.real * stores_asked(options)),
-        ("discovery", options.hollow + 2 * options.real + 1),
+        ("who tells the list", told + 2 * options.real + 1),
+        ("discovery", options.relays + options.real + 1),
         ("the hollow aggregators", options.hollow),
         ("the clients", options.real * queries),
         ("a real aggregator", sockets(options)),
@@ -94,7 +96,10 @@
     let hollow = options.hollow * (HOLLOW + HOLLOW_LINE * lines);
     let real = options.real * (REAL + REAL_LINE * lines + REAL_PART * options.in_flight);
     let connections = options.hollow + options.real * (stores_asked(options) + options.queries().0);
-    hollow + real + STAND_INS * (STAND_IN + STAND_IN_LINE * lines) + connections * CONNECTION
+    hollow
+        + real
+        + (STAND_INS + options.relays) * (STAND_IN + STAND_IN_LINE * lines)
+        + connections * CONNECTION
 }
 
 fn total_memory() -> Option<usize> {
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -115,7 +115,9 @@
 /// Starts them. Each is started when few of the last ones wait for their list.
 pub fn start(setup: &Setup) -> io::Result<(Vec<SocketAddr>, Attend)> {
     let info: Info = serde_json::from_value(setup.settings.clone())?;
-    let discovery = *setup.discovery.first().ok_or(io::ErrorKind::InvalidInput)?;
+    if setup.discovery.is_empty() {
+        return Err(io::ErrorKind::InvalidInput.into());
+    }
     let clock = Clock::new();
     let mut threads = Vec::new();
     for thread in 0..THREADS {
@@ -123,7 +125,7 @@
         let (asking, asked) = async_channel::bounded::<()>(1);
         let (answers, answer) = std::sync::mpsc::channel();
         let (info, held) = (info.clone(), standing.clone());
-        let (seed, hollow) = (setup.seed, setup.hollow);
+        let (seed, hollow, discovery) = (setup.seed, setup.hollow, setup.discovery.clone());
         thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
             let mut drivers = Vec::new();
@@ -131,7 +133,7 @@
                 for no in (thread..hollow).step_by(THREADS) {
                     let Ok(core) = Core::new(&info, seed + no as u64) else { return };
                     let driver = Driver::new(core, executor.clone());
-                    let watch = Watch::new(driver.clone(), discovery, None);
+                    let watch = Watch::new(driver.clone(), discovery[no % discovery.len()], None);
                     driver.connect(Rc::new(NoStores), Rc::new(watch.clone()));
                     driver.take_news(News::Cached(Vec::new()));
                     executor.spawn(drive(driver.clone(), watch, clock, held.clone())).detach();
--- a/crates/lab/src/scale/outcome.rs
+++ b/crates/lab/src/scale/outcome.rs
@@ -174,29 +174,50 @@
         let traffic = |[before, after]: [&Value; 2]| -> Result<Traffic, String> {
             Ok(read::<Traffic>(after.clone())?.since(&read(before.clone())?))
         };
-        let told = [&before.discovery.1, &after.discovery.1];
-        let hollow = traffic(told.map(|told| &told["hollow"]))?;
-        let real = (0..options.real).try_fold(Traffic::default(), |sum, no| {
-            traffic(told.map(|told| &told["real"][no])).map(|more| sum.and(&more))
-        })?;
+        // Aggregators are told by discovery, or by relays; those ask discovery in the hollow aggregators' place.
+        let asked = [&before.discovery.1, &after.discovery.1];
+        let relays: Vec<_> =
+            before.relays.iter().zip(&after.relays).map(|(before, after)| [&before.1, &after.1]).collect();
+        let told_by = if relays.is_empty() { vec![asked] } else { relays.clone() };
+        let sum = |from: &[[&Value; 2]], of: &dyn Fn(&Value) -> Value| {
+            let marks = from.iter().map(|marks| marks.map(of));
+            marks.into_iter().try_fold(Traffic::default(), |sum, [before, after]| {
+                traffic([&before, &after]).map(|more| sum.and(&more))
+            })
+        };
+        let all_real = |from: &[[&Value; 2]]| {
+            (0..options.real).try_fold(Traffic::default(), |all, no| {
+                sum(from, &|mark| mark["real"][no].clone()).map(|more| all.and(&more))
+            })
+        };
+        let hollow = sum(&told_by, &|mark| mark["hollow"].clone())?;
+        let real = all_real(&told_by)?;
+        let asked = sum(&[asked], &|mark| mark["hollow"].clone())?.and(&all_real(&[asked])?);
+        let up = sum(&relays, &|mark| mark["up"].clone())?;
         let stores = traffic([&before.stores.1, &after.stores.1].map(|mark| &mark["traffic"]))?;
         let clients = traffic([&before.clients.1, &after.clients.1].map(|mark| &mark["traffic"]))?;
         let one = |of: fn(&Sample) -> Usage| [[of(before)], [of(after)]];
         let used = |members, usage: [[Usage; 1]; 2], traffic| {
             Used::of(members, [&usage[0], &usage[1]], traffic, seconds)
         };
-        let all_real = real.and(&stores).and(&clients).turned();
+        let of_real = real.and(&stores).and(&clients).turned();
         let mut roles = BTreeMap::from([
-            ("discovery", used(1, one(|sample| sample.discovery.0), hollow.and(&real))),
+            ("discovery", used(1, one(|sample| sample.discovery.0), asked)),
             ("run stores", used(1, one(|sample| sample.stores.0), stores)),
             ("clients", used(1, one(|sample| sample.clients.0), clients)),
         ]);
         if options.hollow > 0 {
             roles.insert("hollow", used(options.hollow, one(|sample| sample.hollow), hollow.turned()));
         }
+        if options.relays > 0 {
+            let usage = |sample: &Sample| sample.relays.iter().map(|(usage, _)| *usage).collect::<Vec<_>>();
+            let traffic = hollow.and(&real).and(&up);
+            let used = Used::of(options.relays, [&usage(before), &usage(after)], traffic, seconds);
+            roles.insert("relays", used);
+        }
         let mut queries = None;
         if options.real > 0 {
-            let used = Used::of(options.real, [&before.real, &after.real], all_real, seconds);
+            let used = Used::of(options.real, [&before.real, &after.real], of_real, seconds);
             roles.insert("real", used);
             roles.insert("real, from discovery", Used::of(options.real, [&[], &[]], real.turned(), seconds));
             let parts = |sample: &Sample| sample.clients.1["ends"]["parts"].as_u64().unwrap_or(0);
--- a/crates/lab/src/scale/roles.rs
+++ b/crates/lab/src/scale/roles.rs
@@ -21,7 +21,7 @@
 /// What a process of the lab stands in for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum Role {
-    /// Discovery.
+    /// Discovery, or a relay of it.
     Discovery,
     /// All run stores that are asked.
     Stores,
@@ -56,7 +56,9 @@
     pub settings: Value,
     /// Where the run stores listen, all of them.
     pub stores: Option<SocketAddr>,
-    /// Where discovery listens: for hollow aggregators, and then for each real one.
+    /// Where a relay learns the list; `None` at discovery itself.
+    pub upstream: Option<SocketAddr>,
+    /// Where hollow aggregators are told the list, in turn.
     pub discovery: Vec<SocketAddr>,
     /// Where the real aggregators listen.
     pub aggregators: Vec<SocketAddr>,
--- a/crates/lab/src/scale/stores.rs
+++ b/crates/lab/src/scale/stores.rs
@@ -45,7 +45,7 @@
         stream.set_nodelay(true)?;
         let (sender, answers) = async_channel::unbounded();
         self.executor.spawn(write(stream.clone(), answers, self.count.clone())).detach();
-        let (mut buffer, mut bytes) = (Vec::new(), [0; 16 * 1024]);
+        let (mut buffer, mut bytes) = (Vec::new(), [0; 4096]);
         loop {
             let read = stream.read(&mut bytes).await?;
             if read == 0 {
--- a/crates/lab/src/scale/sweep.rs
+++ b/crates/lab/src/scale/sweep.rs
@@ -1,11 +1,12 @@
 //! Runs of growing size, one size at a time, and the slopes that they give.
 
+use std::io::ErrorKind;
 use std::path::Path;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use clap::ValueEnum;
 use plotters::prelude::*;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::outcome::{draw, Outcome, Panel, Used};
 use super::{bounds, play, Options};
@@ -21,12 +22,14 @@
     Changes,
     /// Parts out of each real aggregator.
     InFlight,
+    /// Relays between discovery and the aggregators.
+    Relays,
     /// One after the other.
     All,
 }
 
 /// A figure against a size, for a fit.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Series {
     name: String,
     x: String,
@@ -38,8 +41,9 @@
 }
 
 /// All series, as TOML has them.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct Slopes {
+    #[serde(default)]
     series: Vec<Series>,
 }
 
@@ -62,6 +66,11 @@
     role(run, "hollow", |used| of(used) / used.members as f64)
 }
 
+/// The same of relays.
+fn relay(run: &Outcome, of: impl Fn(&Used) -> f64) -> Option<f64> {
+    role(run, "relays", |used| of(used) / used.members as f64)
+}
+
 fn discovery_cpu(_: &Options, run: &Outcome) -> Option<f64> {
     role(run, "discovery", |used| used.cpu_ms_per_s)
 }
@@ -70,6 +79,10 @@
     role(run, "discovery", |used| used.memory as f64)
 }
 
+fn control_cpu(_: &Options, run: &Outcome) -> Option<f64> {
+    each(run, |used| used.cpu_ms_per_s * 1000.0)
+}
+
 fn in_force(_: &Options, run: &Outcome) -> Option<f64> {
     run.changes.all.map(|times| times.p99)
 }
@@ -89,6 +102,7 @@
             Axis::RunStores => "run stores listed",
             Axis::Changes => "changes a second",
             Axis::InFlight => "parts in flight at an aggregator",
+            Axis::Relays => "relays",
             Axis::All => "sizes",
         }
     }
@@ -100,16 +114,18 @@
             Axis::RunStores => "by-run-stores",
             Axis::Changes => "by-changes",
             Axis::InFlight => "by-in-flight",
+            Axis::Relays => "by-relays",
             Axis::All => "by-size",
         }
     }
 
     fn sizes(self) -> &'static [f64] {
         match self {
-            Axis::Hollow => &[10.0, 30.0, 100.0, 300.0, 1000.0],
-            Axis::RunStores => &[60.0, 200.0, 600.0, 2000.0, 6000.0],
-            Axis::Changes => &[0.5, 1.0, 2.0, 5.0, 10.0, 20.0],
-            Axis::InFlight => &[10.0, 30.0, 100.0, 300.0, 1000.0],
+            Axis::Hollow => &[10.0, 30.0, 100.0, 300.0, 1000.0, 3000.0],
+            Axis::RunStores => &[60.0, 200.0, 600.0, 2000.0, 6000.0, 20000.0],
+            Axis::Changes => &[0.0, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0],
+            Axis::InFlight => &[10.0, 30.0, 100.0, 300.0, 1000.0, 3000.0],
+            Axis::Relays => &[1.0, 2.0, 4.0, 8.0, 16.0, 28.0],
             Axis::All => &[],
         }
     }
@@ -121,6 +137,7 @@
             Axis::RunStores => options.run_stores = size as usize,
             Axis::Changes => options.changes = size,
             Axis::InFlight => options.in_flight = size as usize,
+            Axis::Relays => options.relays = size as usize,
             Axis::All => {}
         }
         options
@@ -132,6 +149,7 @@
             (Axis::RunStores, format!("{} run stores", base.run_stores)),
             (Axis::Hollow, format!("{} hollow aggregators", base.hollow)),
             (Axis::InFlight, format!("{} parts in flight at each of {} real", base.in_flight, base.real)),
+            (Axis::Relays, format!("{} relays", base.relays)),
             (Axis::Changes, format!("{} changes a second", base.changes)),
         ];
         let held: Vec<String> =
@@ -153,15 +171,19 @@
                 named("discovery-descriptors", "descriptors", |_, run| {
                     role(run, "discovery", |used| used.descriptors as f64)
                 }),
+                named("control-cpu-of-all", "ms of a core a second", |_, run| {
+                    role(run, "hollow", |used| used.cpu_ms_per_s)
+                }),
+                named("control-memory-of-all", "bytes", |_, run| {
+                    role(run, "hollow", |used| used.memory as f64)
+                }),
                 named("change-in-force-p50", "ms to the last aggregator", |_, run| {
                     run.changes.all.map(|times| times.p50)
                 }),
                 named("change-in-force-p99", "ms to the last aggregator", in_force),
             ],
             Axis::RunStores => vec![
-                named("control-cpu-per-change", "us of a core a change and aggregator", |options, run| {
-                    each(run, |used| used.cpu_ms_per_s * 1000.0 / options.changes)
-                }),
+                named("control-cpu", "us of a core a second and aggregator", control_cpu),
                 named("control-memory", "bytes an aggregator", |_, run| each(run, |used| used.memory as f64)),
                 named("whole-list", "bytes", |_, run| Some(run.whole_list_bytes as f64)),
                 named("discovery-memory", "bytes", discovery_memory),
@@ -170,9 +192,7 @@
                 named("change-in-force-p99", "ms to the last aggregator", in_force),
             ],
             Axis::Changes => vec![
-                named("control-cpu", "us of a core a second and aggregator", |_, run| {
-                    each(run, |used| used.cpu_ms_per_s * 1000.0)
-                }),
+                named("control-cpu", "us of a core a second and aggregator", control_cpu),
                 named("control-bytes", "bytes a second and aggregator, both ways", |_, run| {
                     each(run, |used| used.bytes_in_per_s + used.bytes_out_per_s)
                 }),
@@ -200,6 +220,20 @@
                     role(run, "run stores", |used| (used.bytes_in_per_s + used.bytes_out_per_s) / parts)
                 }),
             ],
+            Axis::Relays => vec![
+                named("relay-cpu", "ms of a core a second and relay", |_, run| {
+                    relay(run, |used| used.cpu_ms_per_s)
+                }),
+                named("relay-bytes", "bytes a second and relay, both ways", |_, run| {
+                    relay(run, |used| used.bytes_in_per_s + used.bytes_out_per_s)
+                }),
+                named("relay-memory", "bytes a relay", |_, run| relay(run, |used| used.memory as f64)),
+                named("relay-descriptors", "descriptors a relay", |_, run| {
+                    relay(run, |used| used.descriptors as f64)
+                }),
+                named("discovery-cpu", "ms of a core a second", discovery_cpu),
+                named("change-in-force-p99", "ms to the last aggregator", in_force),
+            ],
             Axis::All => Vec::new(),
         }
     }
@@ -211,10 +245,11 @@
 /// If slopes or charts cannot be written, or it is told to end.
 pub fn run(base: &Options, axis: Axis, told_to_end: &AtomicBool) -> Result<bool, String> {
     let axes = match axis {
-        Axis::All => vec![Axis::Hollow, Axis::RunStores, Axis::Changes, Axis::InFlight],
+        Axis::All => vec![Axis::Hollow, Axis::RunStores, Axis::Changes, Axis::InFlight, Axis::Relays],
         one => vec![one],
     };
-    let (mut slopes, mut outcomes, mut well) = (Slopes::default(), Vec::new(), true);
+    let mut slopes = base.slopes.as_deref().map_or(Ok(Slopes::default()), known)?;
+    let (mut outcomes, mut well) = (Vec::new(), true);
     for axis in axes {
         let mut runs = Vec::new();
         for &size in axis.sizes() {
@@ -229,7 +264,7 @@
                     well &= outcome.is_well();
                     runs.push((size, options, outcome));
                 }
-                Err(why) if told_to_end.load(std::sync::atomic::Ordering::Acquire) => return Err(why),
+                Err(why) if told_to_end.load(Ordering::Acquire) => return Err(why),
                 Err(why) => {
                     println!("{} {}: failed: {why}\n", size, axis.x());
                     well = false;
@@ -244,8 +279,10 @@
             if points.is_empty() {
                 continue;
             }
+            let name = format!("{name}-{}", axis.by());
+            slopes.series.retain(|series| series.name != name);
             slopes.series.push(Series {
-                name: format!("{name}-{}", axis.by()),
+                name,
                 x: axis.x().to_string(),
                 unit: unit.to_string(),
                 command: format!("{} --sweep {}", base.command(), name_of(axis)),
@@ -274,6 +311,15 @@
     Ok(well)
 }
 
+/// The slopes that a file has from sweeps before: other axes stay, and the chart shows them too.
+fn known(path: &Path) -> Result<Slopes, String> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => toml::from_str(&text).map_err(|error| format!("{}: {error}", path.display())),
+        Err(error) if error.kind() == ErrorKind::NotFound => Ok(Slopes::default()),
+        Err(error) => Err(format!("{}: {error}", path.display())),
+    }
+}
+
 fn name_of(axis: Axis) -> String {
     axis.to_possible_value().map(|value| value.get_name().to_string()).unwrap_or_default()
 }
@@ -287,7 +333,8 @@
     for (area, series) in root.split_evenly((rows, COLUMNS)).iter().zip(&slopes.series) {
         let points: Vec<_> = series.points.iter().map(|[x, y]| (*x, *y)).collect();
         let panel = Panel { title: &series.name, x: &series.x, unit: &series.unit };
-        draw(area, &panel, &points, true).map_err(failed)?;
+        let log = points.iter().all(|(x, y)| *x > 0.0 && *y > 0.0);
+        draw(area, &panel, &points, log).map_err(failed)?;
     }
     root.present().map_err(|error| failed(error.to_string()))
 }
--- a/crates/lab/src/scale/wire.rs
+++ b/crates/lab/src/scale/wire.rs
@@ -78,7 +78,8 @@
 
     /// The next message; `None` at the end of the connection.
     pub async fn read(&mut self) -> io::Result<Option<Message>> {
-        let mut bytes = [0; 16 * 1024];
+        // Small, as thousands of connections wait here.
+        let mut bytes = [0; 2048];
         loop {
             let next = self.parser.next_message();
             if let Some(message) =
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -113,6 +113,26 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
+#[test]
+fn changes_reach_hollow_and_real_aggregators_through_relays_alike() {
+    let folder = folder("relays");
+    let json = folder.join("results.json");
+    let more = ["--seconds", "1", "--relays", "3", "--json", json.to_str().unwrap()];
+    let run = scale(&[&SMALL[..], &more].concat()).output().unwrap();
+    let said = String::from_utf8_lossy(&run.stdout).into_owned();
+    assert!(run.status.success(), "{said}\n{}", String::from_utf8_lossy(&run.stderr));
+    let results = results(&json);
+    let (changes, roles) = (&results["changes"], &results["roles"]);
+    assert_eq!((&changes["everywhere"], &changes["hollow_equal"]), (&true.into(), &12.into()), "{said}");
+    assert_eq!(changes["each"].as_array().unwrap().len(), 12, "real aggregators are heard of too: {said}");
+    assert_eq!(roles["relays"]["members"], 3, "{said}");
+    // Discovery is asked by the relays alone, each change once by each.
+    let of = |role: &str, what: &str| roles[role][what].as_f64().unwrap();
+    assert!(of("discovery", "messages_out_per_s") * 2.0 < of("hollow", "messages_in_per_s"), "{said}");
+    assert!(of("discovery", "messages_in_per_s") > 0.0, "{said}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 #[test]
 fn the_same_seed_gives_the_same_events_and_another_gives_others() {
     let folder = folder("seeds");
@@ -176,7 +196,10 @@
         .unwrap();
     let said = String::from_utf8_lossy(&run.stderr);
     assert_eq!(run.status.code(), Some(2), "{said}");
-    assert!(said.contains("discovery would want 365 descriptors, and a process may have 200"), "{said}");
+    assert!(
+        said.contains("who tells the list would want 365 descriptors, and a process may have 200"),
+        "{said}"
+    );
     assert_eq!(String::from_utf8_lossy(&run.stdout), "200\n");
 }
 
@@ -184,6 +207,8 @@
 fn a_sweep_gives_the_slopes_of_its_sizes() {
     let folder = folder("sweep");
     let slopes = folder.join("slopes.toml");
+    let of_others = "[[series]]\nname = \"other\"\nx = \"a\"\nunit = \"b\"\ncommand = \"c\"\nfixed = \"d\"\nbuild = \"e\"\npoints = [[1.0, 2.0]]\n";
+    std::fs::write(&slopes, of_others).unwrap();
     let sizes = ["--run-stores", "20", "--hollow", "2", "--real", "0", "--seconds", "0.5"];
     let more = ["--sweep", "changes", "--slopes", slopes.to_str().unwrap(), "--build", "as tested"];
     let run = scale(&[&sizes[..], &more].concat()).output().unwrap();
@@ -191,17 +216,18 @@
     let text = std::fs::read_to_string(&slopes).unwrap();
     let slopes: toml::Table = text.parse().unwrap();
     let series = slopes["series"].as_array().unwrap();
+    assert!(series.iter().any(|series| series["name"].as_str() == Some("other")), "what was there stays");
     let control = series.iter().find(|series| series["name"].as_str() == Some("control-messages-by-changes"));
     let control = control.expect("a series of messages");
     assert_eq!(control["x"].as_str(), Some("changes a second"));
     assert_eq!(control["build"].as_str(), Some("as tested"));
     assert_eq!(
         control["fixed"].as_str(),
-        Some("20 run stores, 2 hollow aggregators, 100 parts in flight at each of 0 real")
+        Some("20 run stores, 2 hollow aggregators, 100 parts in flight at each of 0 real, 0 relays")
     );
     let points = control["points"].as_array().unwrap();
     let xs: Vec<f64> = points.iter().map(|point| point[0].as_float().unwrap()).collect();
-    assert_eq!(xs, [0.5, 1.0, 2.0, 5.0, 10.0, 20.0]);
+    assert_eq!(xs, [0.0, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0]);
     assert!(points.last().unwrap()[1].as_float() > Some(0.0), "{text}");
     std::fs::remove_dir_all(&folder).unwrap();
 }
