Work out what the full size asks of each role, from measured slopes: docs/CAPACITY.md

Cause: the operators' size decides the design, and nothing said which bound it meets first. Change: `ironpaddle-lab capacity` fits a line to each series of docs/measurements/slopes.toml, works out every role and answer of docs/CAPACITY.md from it and from the assumptions in docs/measurements/assumptions.toml, and prints the tables or puts them into the page; a test holds both equal. What no series gives is told as not measured. Files at fault end with 2 and the reason.

--- /dev/null
+++ b/crates/lab/src/capacity.rs
@@ -0,0 +1,211 @@
+//! What the full size asks of each role, worked out from measured slopes: the tables of `docs/CAPACITY.md`.
+
+mod answers;
+mod assumptions;
+mod fit;
+mod number;
+mod ramp;
+mod roles;
+mod sizes;
+mod subset;
+
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+
+use clap::Args;
+use serde::Deserialize;
+
+use crate::report::table;
+use assumptions::{Assumption, Assumptions};
+use fit::{Figure, Fit, Series, Slopes};
+use number::{number, percent};
+use sizes::Sizes;
+
+/// How the tables are made.
+#[derive(Debug, Args)]
+pub struct Options {
+    /// The file of measured series.
+    #[arg(long, default_value = "docs/measurements/slopes.toml")]
+    slopes: PathBuf,
+    /// The file of assumptions.
+    #[arg(long, default_value = "docs/measurements/assumptions.toml")]
+    assumptions: PathBuf,
+    /// Put the tables into this page, between its marks, in place of printing them.
+    #[arg(long)]
+    page: Option<PathBuf>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SlopesFile {
+    series: Vec<Series>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AssumptionsFile {
+    assumption: Vec<Assumption>,
+}
+
+/// A table with the name of its marks.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Block {
+    name: &'static str,
+    text: String,
+}
+
+/// Prints the tables, or puts them into the page.
+///
+/// # Errors
+/// Says which file is at fault, and why.
+pub fn run(options: &Options) -> Result<(), String> {
+    let at_fault = |path: &Path, why: String| format!("{}: {why}", path.display());
+    let read = |path: &Path| std::fs::read_to_string(path).map_err(|error| at_fault(path, error.to_string()));
+    let slopes = slopes(&read(&options.slopes)?).map_err(|why| at_fault(&options.slopes, why))?;
+    let (list, assumptions) =
+        assumptions(&read(&options.assumptions)?).map_err(|why| at_fault(&options.assumptions, why))?;
+    let blocks = blocks(&list, &assumptions, &slopes);
+    let Some(page) = &options.page else {
+        blocks.iter().for_each(|block| println!("{}", marked(block)));
+        return Ok(());
+    };
+    let text = fill(&read(page)?, &blocks).map_err(|why| at_fault(page, why))?;
+    std::fs::write(page, text).map_err(|error| at_fault(page, error.to_string()))
+}
+
+fn slopes(text: &str) -> Result<Slopes, String> {
+    let file: SlopesFile = toml::from_str(text).map_err(|error| error.to_string())?;
+    Slopes::new(file.series)
+}
+
+fn assumptions(text: &str) -> Result<(Vec<Assumption>, Assumptions), String> {
+    let file: AssumptionsFile = toml::from_str(text).map_err(|error| error.to_string())?;
+    let known = Assumptions::of(&file.assumption)?;
+    Ok((file.assumption, known))
+}
+
+fn blocks(list: &[Assumption], assumptions: &Assumptions, slopes: &Slopes) -> Vec<Block> {
+    let sizes = Sizes::new(assumptions, slopes);
+    let mut blocks = vec![
+        Block { name: "assumptions", text: assumed(list) },
+        Block { name: "series", text: measured(slopes) },
+        Block { name: "commands", text: commands(slopes) },
+    ];
+    blocks.extend(roles::blocks(&sizes));
+    blocks.extend(answers::blocks(&sizes));
+    blocks
+}
+
+fn assumed(list: &[Assumption]) -> String {
+    let row = |one: &Assumption| {
+        vec![format!("`{}`", one.name), number(one.value), one.unit.clone(), one.source.clone()]
+    };
+    table(&["assumption", "value", "unit", "from"], &list.iter().map(row).collect::<Vec<_>>())
+}
+
+fn measured(slopes: &Slopes) -> String {
+    let head = [
+        "series",
+        "x",
+        "measured from",
+        "to",
+        "each x adds",
+        "at none",
+        "unit",
+        "error, rms",
+        "most",
+        "build",
+    ];
+    let row = |(series, fit): &(Series, Fit)| {
+        let square = if series.curve == fit::Curve::Square { " (each x squared)" } else { "" };
+        vec![
+            format!("`{}`", series.name),
+            series.x.clone(),
+            number(fit.range.0),
+            number(fit.range.1),
+            format!("{}{square}", number(fit.slope)),
+            number(fit.intercept),
+            series.unit.clone(),
+            percent(fit.rms),
+            percent(fit.most),
+            series.build.clone(),
+        ]
+    };
+    table(&head, &slopes.all().map(row).collect::<Vec<_>>())
+}
+
+fn commands(slopes: &Slopes) -> String {
+    slopes.all().fold(String::new(), |mut text, (series, _)| {
+        let points: Vec<_> =
+            series.points.iter().map(|[x, y]| format!("{} {}", number(*x), number(*y))).collect();
+        let _ = writeln!(
+            text,
+            "- `{}`: `{}`. Held: {}. Points: {}.",
+            series.name,
+            series.command,
+            series.fixed,
+            points.join("; ")
+        );
+        text
+    })
+}
+
+/// A row: what, its figure with the unit, and what it rests on.
+fn row(what: &str, figure: Option<&Figure>, unit: &str) -> Vec<String> {
+    let Some(figure) = figure else {
+        return vec![what.to_string(), "not measured".into(), "-".into()];
+    };
+    vec![what.to_string(), format!("{} {unit}", number(figure.value)).trim_end().into(), rests_on(figure)]
+}
+
+/// A row of a figure that rests on assumptions alone.
+fn plain(what: &str, value: f64, unit: &str) -> Vec<String> {
+    row(what, Some(&Figure::plain(value)), unit)
+}
+
+fn rests_on(figure: &Figure) -> String {
+    let one = |basis: &fit::Basis| {
+        let place = if basis.beyond > 1.0 {
+            format!("extrapolated {} times", number(basis.beyond))
+        } else {
+            "inside".into()
+        };
+        format!("`{}`, {place}, error {}", basis.series, percent(basis.rms))
+    };
+    let mut bases: Vec<String> = figure.bases.iter().map(one).collect();
+    bases.dedup();
+    if bases.is_empty() {
+        return "assumptions".into();
+    }
+    bases.join("; ")
+}
+
+fn marks(name: &str) -> (String, String) {
+    (format!("<!-- table: {name} -->\n"), format!("<!-- end of {name} -->\n"))
+}
+
+fn marked(block: &Block) -> String {
+    let (begin, end) = marks(block.name);
+    format!("{begin}\n{}\n{end}", block.text)
+}
+
+/// The page with the tables between its marks.
+fn fill(page: &str, blocks: &[Block]) -> Result<String, String> {
+    let mut text = page.to_string();
+    for block in blocks {
+        let (begin, end) = marks(block.name);
+        let found = text.find(&begin).zip(text.find(&end)).filter(|(from, to)| from < to);
+        let Some((from, to)) = found else {
+            return Err(format!("there are no marks for the table {}", block.name));
+        };
+        text.replace_range(from..to + end.len(), &marked(block));
+    }
+    let known = |line: &&str| blocks.iter().all(|block| marks(block.name).0.trim_end() != *line);
+    match text.lines().filter(|line| line.starts_with("<!-- table: ")).find(known) {
+        Some(line) => Err(format!("no table belongs to the mark {line}")),
+        None => Ok(text),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lab/src/capacity/fit.rs
@@ -0,0 +1,186 @@
+//! Measured series, the lines fitted to them, and figures worked out from those.
+
+use serde::Deserialize;
+
+/// The form that is fitted to a series.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Curve {
+    /// `y = intercept + slope * x`.
+    #[default]
+    Line,
+    /// `y = intercept + slope * x * x`.
+    Square,
+}
+
+/// What one command measured.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Series {
+    /// Its name, which no other has.
+    pub name: String,
+    /// What `x` counts.
+    pub x: String,
+    /// The unit of `y`.
+    pub unit: String,
+    /// The command that gave it.
+    pub command: String,
+    /// What was held meanwhile.
+    pub fixed: String,
+    /// The commit that was measured.
+    pub build: String,
+    /// Pairs of `x` and `y`.
+    pub points: Vec<[f64; 2]>,
+    /// The form that is fitted.
+    #[serde(default)]
+    pub curve: Curve,
+}
+
+/// A line that was fitted to a series, by least squares of relative residuals: ranges are wide, and what is small counts
+/// as much as what is large.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fit {
+    /// What each step of `x` adds, or each step of its square.
+    pub slope: f64,
+    /// What is there without any.
+    pub intercept: f64,
+    /// The root of the mean square of relative residuals.
+    pub rms: f64,
+    /// The largest relative residual.
+    pub most: f64,
+    /// The range of `x` that was measured.
+    pub range: (f64, f64),
+    curve: Curve,
+}
+
+impl Series {
+    /// Fits its line.
+    ///
+    /// # Errors
+    /// Says why there is none.
+    pub fn fit(&self) -> Result<Fit, String> {
+        let at_fault = |why: &str| Err(format!("series {}: {why}", self.name));
+        let sound = |[x, y]: &[f64; 2]| x.is_finite() && y.is_finite() && *x >= 0.0 && *y > 0.0;
+        if !self.points.iter().all(sound) {
+            return at_fault("each x must be 0 or more, and each y more than 0");
+        }
+        let xs = || self.points.iter().map(|[x, _]| *x);
+        let range = (xs().fold(f64::INFINITY, f64::min), xs().fold(0.0, f64::max));
+        if range.0 >= range.1 {
+            return at_fault("a line needs points at two values of x or more");
+        }
+        let form = |x: f64| match self.curve {
+            Curve::Line => x,
+            Curve::Square => x * x,
+        };
+        // Each point's equation is divided by its y: u * intercept + v * slope = 1.
+        let rows = || self.points.iter().map(|[x, y]| (1.0 / y, form(*x) / y));
+        let sum = |of: fn((f64, f64)) -> f64| rows().map(of).sum::<f64>();
+        let (uu, uv, vv) = (sum(|(u, _)| u * u), sum(|(u, v)| u * v), sum(|(_, v)| v * v));
+        let (u, v) = (sum(|(u, _)| u), sum(|(_, v)| v));
+        let determinant = uu * vv - uv * uv;
+        let (intercept, slope) = ((u * vv - v * uv) / determinant, (v * uu - u * uv) / determinant);
+        let residuals = || rows().map(|(u, v)| (u * intercept + v * slope - 1.0).abs());
+        let rms = (residuals().map(|one| one * one).sum::<f64>() / self.points.len() as f64).sqrt();
+        Ok(Fit { slope, intercept, rms, most: residuals().fold(0.0, f64::max), range, curve: self.curve })
+    }
+}
+
+impl Fit {
+    /// What it says at some `x`.
+    pub fn at(&self, x: f64) -> f64 {
+        self.intercept
+            + self.slope
+                * match self.curve {
+                    Curve::Line => x,
+                    Curve::Square => x * x,
+                }
+    }
+
+    /// How many times beyond the measured range some `x` is; 1 inside it.
+    pub fn beyond(&self, x: f64) -> f64 {
+        let (least, most) = self.range;
+        (x / most).max(least / x.max(f64::MIN_POSITIVE)).max(1.0)
+    }
+}
+
+/// What a figure was worked out from.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Basis {
+    /// The series.
+    pub series: String,
+    /// How many times beyond the range the figure is; 1 inside.
+    pub beyond: f64,
+    /// The fit's error.
+    pub rms: f64,
+}
+
+/// A figure and what it rests on: measured series, or on none but the assumptions.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Figure {
+    /// The figure.
+    pub value: f64,
+    /// The series it rests on.
+    pub bases: Vec<Basis>,
+}
+
+impl Figure {
+    /// A figure that rests on assumptions alone.
+    pub fn plain(value: f64) -> Self {
+        Figure { value, bases: Vec::new() }
+    }
+
+    /// So many times it.
+    pub fn times(&self, by: f64) -> Self {
+        Figure { value: self.value * by, bases: self.bases.clone() }
+    }
+
+    /// It and another together.
+    pub fn plus(&self, other: &Figure) -> Self {
+        let bases = self.bases.iter().chain(&other.bases).cloned().collect();
+        Figure { value: self.value + other.value, bases }
+    }
+}
+
+/// All series with their fits.
+pub struct Slopes(Vec<(Series, Fit)>);
+
+impl Slopes {
+    /// Fits all.
+    ///
+    /// # Errors
+    /// Says which series is at fault.
+    pub fn new(series: Vec<Series>) -> Result<Self, String> {
+        let mut all: Vec<(Series, Fit)> = Vec::new();
+        for one in series {
+            if all.iter().any(|(known, _)| known.name == one.name) {
+                return Err(format!("series {}: there are two of that name", one.name));
+            }
+            let fit = one.fit()?;
+            all.push((one, fit));
+        }
+        Ok(Slopes(all))
+    }
+
+    /// Every series, in the file's order.
+    pub fn all(&self) -> impl Iterator<Item = &(Series, Fit)> {
+        self.0.iter()
+    }
+
+    fn fit(&self, name: &str) -> Option<&Fit> {
+        self.0.iter().find(|(series, _)| series.name == name).map(|(_, fit)| fit)
+    }
+
+    /// What a series says at some `x`; none if it was not measured.
+    pub fn at(&self, name: &str, x: f64) -> Option<Figure> {
+        let fit = self.fit(name)?;
+        let basis = Basis { series: name.to_string(), beyond: fit.beyond(x), rms: fit.rms };
+        Some(Figure { value: fit.at(x), bases: vec![basis] })
+    }
+
+    /// What each step of a series' `x` adds, for so many of them.
+    pub fn each(&self, name: &str, x: f64) -> Option<Figure> {
+        let fit = self.fit(name)?;
+        Some(Figure { value: fit.slope, ..self.at(name, x)? })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/capacity/number.rs
@@ -0,0 +1,46 @@
+//! Figures as the page shows them: three digits that count.
+
+/// A number with its thousands parted, three digits of it counting.
+pub fn number(value: f64) -> String {
+    let size = value.abs();
+    // What rounding leaves of nothing is nothing.
+    if size < 1e-9 {
+        return "0".into();
+    }
+    for (unit, name) in [(1e12, "million million"), (1e9, "thousand million"), (1e6, "million")] {
+        if size >= unit * 0.9995 {
+            return format!("{} {name}", small(value / unit));
+        }
+    }
+    if size < 999.5 {
+        return small(value);
+    }
+    let step = 10f64.powf(size.log10().floor() - 2.0).max(1.0);
+    let digits = format!("{:.0}", (value / step).round() * step);
+    let mut parted = String::new();
+    for (place, digit) in digits.char_indices() {
+        if place > 0 && digits[..place].chars().any(char::is_numeric) && (digits.len() - place) % 3 == 0 {
+            parted.push(',');
+        }
+        parted.push(digit);
+    }
+    parted
+}
+
+/// A number under a thousand.
+fn small(value: f64) -> String {
+    // The place of the first digit that counts, once the last is rounded.
+    let first = format!("{:.2e}", value.abs());
+    let first = first.rsplit('e').next().and_then(|power| power.parse::<i32>().ok()).unwrap_or(0);
+    let text = format!("{value:.*}", (2 - first).max(0) as usize);
+    if text.contains('.') {
+        text.trim_end_matches('0').trim_end_matches('.').to_string()
+    } else {
+        text
+    }
+}
+
+/// A share as a percentage.
+pub fn percent(share: f64) -> String {
+    format!("{} %", number(share * 100.0))
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The project's lab: everything an aggregator meets, on loopback, with load and troubles, under a checker of the rules.
 
 mod aggregators;
+mod capacity;
 mod check;
 mod clients;
 mod clock;
@@ -56,6 +57,8 @@
         #[arg(long, default_value_t = 300_000)]
         lines: u32,
     },
+    /// Print what the full size asks of each role, worked out from measured slopes.
+    Capacity(capacity::Options),
     /// Be an aggregator; the demo starts such processes of itself.
     #[command(hide = true)]
     Aggregator {
@@ -72,6 +75,13 @@
         Command::ScaleRole { role } => scale::roles::play(role),
         Command::Aggregator { config } => aggregators::be(&config).map(|()| true),
         Command::LogCost { lines } => logs::cost(lines).map(|()| true),
+        Command::Capacity(options) => match capacity::run(&options) {
+            Ok(()) => Ok(true),
+            Err(message) => {
+                eprintln!("ironpaddle-lab: {message}");
+                return ExitCode::from(2);
+            }
+        },
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
