Measure what one aggregator costs, and fill the page with the slopes of both builds

Change: `ironpaddle-lab measure` runs one real aggregator on loopback (parts a second, parts of a query, lines of the list, parts in flight, connections) and prints series. docs/measurements/slopes.toml holds these, those of the module's and the list's benchmarks and of the scale run, with build and command. A figure that was itself measured is taken as measured, and told so. Rows say what is built since.

--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -17,7 +17,7 @@
 
 use crate::report::table;
 use assumptions::{Assumption, Assumptions};
-use fit::{Figure, Fit, Series, Slopes};
+use fit::{Figure, Fit, Place, Series, Slopes};
 use number::{number, percent};
 use sizes::Sizes;
 
@@ -165,12 +165,14 @@
 
 fn rests_on(figure: &Figure) -> String {
     let one = |basis: &fit::Basis| {
-        let place = if basis.beyond > 1.0 {
-            format!("extrapolated {} times", number(basis.beyond))
-        } else {
-            "inside".into()
+        let place = match basis.place {
+            Place::Measured => "measured there".to_string(),
+            Place::Inside(rms) => format!("inside, error {}", percent(rms)),
+            Place::Beyond(beyond, rms) => {
+                format!("extrapolated {} times, error {}", number(beyond), percent(rms))
+            }
         };
-        format!("`{}`, {place}, error {}", basis.series, percent(basis.rms))
+        format!("`{}`, {place}", basis.series)
     };
     let mut bases: Vec<String> = figure.bases.iter().map(one).collect();
     bases.dedup();
--- a/crates/lab/src/capacity/answers.rs
+++ b/crates/lab/src/capacity/answers.rs
@@ -6,6 +6,7 @@
 use super::fit::Figure;
 use super::number::{number, percent};
 use super::ramp::{self, Sender};
+use super::roles::PARTS;
 use super::sizes::Sizes;
 use super::subset::{self, Choice, Region, Spread};
 use super::{plain, rests_on, row, table, Block};
@@ -34,53 +35,65 @@
 }
 
 fn part(s: &Sizes) -> Vec<Vec<String>> {
-    let budget = 1e6 / s.parts;
-    let each = s.slopes.each("part-cpu", s.parts);
-    let query = s.slopes.each("query-cpu", s.a.parts_per_query);
-    let cores = s.part_core();
-    vec![
+    let mut rows = vec![
         plain("parts of an aggregator", s.parts, "a second"),
-        plain("one core for each part", budget, "us"),
-        row("a part today, from client to answer, by the rate of parts", each.as_ref(), "us"),
-        row("a part today, by the parts of a query", query.as_ref(), "us"),
-        row("cores that an aggregator needs for parts alone", cores.as_ref(), "cores"),
-        row(
-            "parts that one core bears at that price",
-            each.as_ref().map(|each| each.times(1e6 / each.value / each.value)).as_ref(),
-            "a second",
-        ),
-        row(
-            "aggregators of one thread that the whole load would need",
-            cores.as_ref().map(|cores| cores.times(s.a.aggregators)).as_ref(),
-            "aggregators",
-        ),
-    ]
+        plain("one core for each part", 1e6 / s.parts, "us"),
+    ];
+    for (what, series) in PARTS {
+        let cores = s.part_cores(series);
+        let each = cores.as_ref().map(|cores| cores.times(1e6 / s.parts));
+        rows.push(row(&format!("a part at that rate, {what}"), each.as_ref(), "us"));
+        rows.push(row("that is, of an aggregator", cores.as_ref(), "cores"));
+    }
+    for (what, series) in [("build before", "query-cpu-before"), ("now", "query-cpu-now")] {
+        let query =
+            s.slopes.at(series, s.a.parts_per_query).map(|query| query.times(1.0 / s.a.parts_per_query));
+        rows.push(row(
+            &format!("a part of a query of so many, at 2,000 parts a second, {what}"),
+            query.as_ref(),
+            "us",
+        ));
+    }
+    let before = s.slopes.at("step-before", s.a.run_stores * s.in_flight);
+    rows.push(row(
+        "of which the module: a step in which one comes and one ends, build before",
+        before.as_ref(),
+        "us",
+    ));
+    let now = s.slopes.at("step-now", s.in_flight);
+    rows.push(row("the same, now, all run stores", now.as_ref(), "us"));
+    rows
 }
 
 fn in_flight(s: &Sizes) -> Vec<Vec<String>> {
     let most = s.parts * s.a.wanted_ms / 1000.0;
-    let tick = |figure: Option<Figure>| figure.map(|us| us.times(1e-3));
     let stores = s.a.run_stores;
     vec![
         plain("parts in flight, at the mean time of a part", s.in_flight, "parts"),
         plain("parts in flight, if each took the wanted time", most, "parts"),
         plain("open queries, if each takes the wanted time", s.open, "queries"),
-        plain("a tick's share of control", s.a.tick_ms * s.a.control_core, "ms"),
-        row("a quiet tick, build before", tick(s.tick_before(stores, s.in_flight)).as_ref(), "ms"),
+        plain("a tick's share of control", tick_bound(s), "us"),
+        row("a quiet tick, build before", s.tick_before(stores, s.in_flight).as_ref(), "us"),
         row(
-            "the same with the region's run stores alone",
-            tick(s.tick_before(s.own_lines, s.in_flight)).as_ref(),
-            "ms",
+            "a quiet tick, build before, 100 in flight",
+            s.slopes.at("quiet-tick-at-100-before", stores).as_ref(),
+            "us",
         ),
-        row("a quiet tick now", tick(s.tick_now(stores, s.in_flight)).as_ref(), "ms"),
         row(
-            "a quiet tick now, if each part took the wanted time",
-            tick(s.tick_now(stores, most)).as_ref(),
-            "ms",
+            "the region's run stores alone, build before",
+            s.tick_before(s.own_lines, s.in_flight).as_ref(),
+            "us",
         ),
+        row("a quiet tick, now", s.tick_now(s.in_flight).as_ref(), "us"),
+        row("a quiet tick, now, if each part took the wanted time", s.tick_now(most).as_ref(), "us"),
     ]
 }
 
+/// What a tick may take of a core, in microseconds.
+fn tick_bound(s: &Sizes) -> f64 {
+    s.a.tick_ms * 1000.0 * s.a.control_core
+}
+
 fn connections(s: &Sizes) -> Vec<Vec<String>> {
     let (a, all) = (s.a, s.a.aggregators * s.a.run_stores);
     let holders = |count: f64| s.blocks * count;
@@ -244,18 +257,31 @@
 }
 
 fn whole_list(s: &Sizes) -> Vec<Vec<String>> {
-    let stores = s.a.run_stores;
-    vec![
-        row(
-            "a whole list taken in, build before",
-            s.slopes.at("list-taken-in-before", stores).as_ref(),
-            "ms",
-        ),
-        row("a whole list taken in now", s.slopes.at("list-taken-in", stores).as_ref(), "ms"),
-        row("memory meanwhile, now", s.slopes.at("list-memory", stores).as_ref(), "MB"),
-        plain("aim", s.a.whole_list_ms, "ms"),
-        plain("parts that come meanwhile, at the aim", s.parts * s.a.whole_list_ms / 1000.0, "parts"),
-    ]
+    let at = |what: &str, series: &str, by: f64, unit: &str| {
+        let figure = s.slopes.at(series, s.a.run_stores).map(|figure| figure.times(by));
+        row(what, figure.as_ref(), unit)
+    };
+    let mut rows = vec![at("its bytes, in the longest form that is expected", "list-bytes-long", 1e-6, "MB")];
+    for (build, flights) in [("before", "100"), ("now", "5,600")] {
+        let told = if build == "before" { "build before" } else { "now" };
+        for (what, series) in [
+            ("read and parsed".to_string(), "list-parsed"),
+            ("handed on by the core, all lines known".into(), "list-routed"),
+            (format!("taken up by the module, {flights} in flight"), "whole-list-module"),
+        ] {
+            rows.push(at(&format!("{what}, {told}"), &format!("{series}-{build}"), 1.0, "ms"));
+        }
+        rows.push(row(&format!("all of it, {told}"), s.taken_in(build).as_ref(), "ms"));
+        rows.push(at(
+            &format!("memory beside the input, {told}"),
+            &format!("list-memory-{build}"),
+            1.0,
+            "MB",
+        ));
+    }
+    rows.push(plain("aim", s.a.whole_list_ms, "ms"));
+    rows.push(plain("parts that come meanwhile, at the aim", s.parts * s.a.whole_list_ms / 1000.0, "parts"));
+    rows
 }
 
 /// Who may send to a cold run store and what their lists name, with what comes of it.
@@ -414,19 +440,29 @@
     ]
 }
 
+/// Whether the mechanism is there: not at all, since the builds that are told as now, or before.
+const MISSING: &str = "**missing**";
+const BUILT: &str = "built since";
+const CARRIED: &str = "in the program";
+
 /// What a size asks of the program as it is, against what there may be.
 struct Gap {
-    what: &'static str,
+    what: String,
     asks: Option<Figure>,
     bound: f64,
     unit: &'static str,
+    state: &'static str,
     mechanism: &'static str,
 }
 
 fn missing(s: &Sizes, spreads: &[Played], ramps: &[Started]) -> String {
     let a = s.a;
     let stores = a.run_stores;
-    let tick = a.tick_ms * 1000.0 * a.control_core;
+    let tick = tick_bound(s);
+    let idle = |build: &str| {
+        let idle = s.slopes.at(&format!("idle-cpu-by-stores-{build}"), stores);
+        idle.map(|us| us.times(100.0 / 1e6))
+    };
     let whole = s.list_bytes(stores);
     let region = s.list_bytes(s.region_stores);
     let two_zones = spreads.iter().find(|(_, choice, region, _)| {
@@ -438,133 +474,174 @@
     };
     let mut gaps = vec![
         Gap {
-            what: "a quiet tick, build before",
+            what: "a quiet tick, build before".into(),
             asks: s.tick_before(stores, s.in_flight),
             bound: tick,
             unit: "us",
+            state: BUILT,
             mechanism: "a step that costs what it was told and what is due",
         },
         Gap {
-            what: "a quiet tick, now",
-            asks: s.tick_now(stores, s.in_flight),
+            what: "a quiet tick, now".into(),
+            asks: s.tick_now(s.in_flight),
             bound: tick,
             unit: "us",
+            state: CARRIED,
             mechanism: "the same",
         },
         Gap {
-            what: "a whole list at the rate of control",
+            what: "a whole list at the rate of control".into(),
             asks: Some(at_control_rate(s, &whole)),
             bound: a.in_force_s,
             unit: "s",
+            state: MISSING,
             mechanism: "lists of what concerns an aggregator, kept over a restart, and changes since",
         },
         Gap {
-            what: "a whole list taken in, build before",
-            asks: s.slopes.at("list-taken-in-before", stores),
+            what: "a whole list taken in, build before".into(),
+            asks: s.taken_in("before"),
             bound: a.whole_list_ms,
             unit: "ms",
+            state: BUILT,
             mechanism: "known run stores found by name, and not by a look at all lines",
         },
         Gap {
-            what: "a whole list taken in, now",
-            asks: s.slopes.at("list-taken-in", stores),
+            what: "a whole list taken in, now".into(),
+            asks: s.taken_in("now"),
             bound: a.whole_list_ms,
             unit: "ms",
+            state: CARRIED,
             mechanism: "the same",
         },
         Gap {
-            what: "the return of a region at the rate of control",
+            what: "the return of a region at the rate of control".into(),
             asks: Some(at_control_rate(s, &region)),
             bound: a.in_force_s,
             unit: "s",
+            state: MISSING,
             mechanism: "a watch that names the regions whose lines it wants",
         },
         Gap {
-            what: "connections of a run store, all to all",
+            what: "connections of a run store, all to all".into(),
             asks: Some(Figure::plain(a.aggregators)),
             bound: s.senders,
             unit: "connections",
+            state: MISSING,
             mechanism: "subsets by rendezvous hashing",
         },
         Gap {
-            what: "processor time of parts",
-            asks: s.part_core(),
-            bound: 1.0,
-            unit: "cores",
-            mechanism: "more than one serving thread, or more than one process an aggregator",
-        },
-        Gap {
-            what: "a whole list against the longest that is read",
+            what: "a whole list against the longest that is read".into(),
             asks: Some(whole.times(1e-6)),
             bound: a.most_list_bytes / 1e6,
             unit: "MB",
+            state: BUILT,
             mechanism: "a bound derived from the list",
         },
         Gap {
-            what: "what a cold run store bears, of what its chosen senders may send it, whole lists",
+            what: "what a cold run store bears, of what its chosen senders may send it, whole lists".into(),
             asks: used(stores),
             bound: 1.0,
             unit: "times",
+            state: MISSING,
             mechanism:
                 "shares among a run store's own senders (`src/cold.rs`); needed once there are subsets",
         },
         Gap {
-            what: "the same, lists of the region",
+            what: "the same, lists of the region".into(),
             asks: used(s.region_stores),
             bound: 1.0,
             unit: "times",
+            state: MISSING,
             mechanism: "the same",
         },
         Gap {
-            what: "the mean load of what is left of a region of two zones, of what run stores bear",
+            what: "the mean load of what is left of a region of two zones, of what run stores bear".into(),
             asks: two_zones.map(|(.., spread)| Figure::plain(spread.left * a.busy)),
             bound: 1.0,
             unit: "times",
+            state: MISSING,
             mechanism: "parts that spill over to another region",
         },
         Gap {
-            what: "a change on two legs, each as long as it may take",
+            what: "a change on two legs, each as long as it may take".into(),
             asks: Some(Figure::plain(2.0 * TOLD_WITHIN / 1000.0)),
             bound: a.in_force_s,
             unit: "s",
+            state: MISSING,
             mechanism: "control machines, two for each aggregator",
         },
         Gap {
-            what: "repeats for the tail, two a part, of all parts",
+            what: "repeats for the tail, two a part, of all parts".into(),
             asks: Some(Figure::plain(late(s).powf(1.0 / 3.0) + late(s).powf(2.0 / 3.0))),
             bound: a.repeat_ratio,
             unit: "of the parts",
+            state: CARRIED,
             mechanism: "in the program: `src/repeats.rs`",
         },
         Gap {
-            what: "the watch's bytes, all changes",
+            what: "the watch's bytes, all changes".into(),
             asks: Some(Figure::plain(s.watch_bytes(s.changes) / 1000.0)),
             bound: a.control_kb_per_s,
             unit: "KB a second",
+            state: CARRIED,
             mechanism: "in the program: `src/directory/watch.rs`",
         },
         Gap {
-            what: "memory with the whole list",
-            asks: s.slopes.at("memory-by-stores", stores),
+            what: "memory with the whole list, build before".into(),
+            asks: s.slopes.at("memory-by-stores-before", stores),
+            bound: a.control_mb,
+            unit: "MB",
+            state: BUILT,
+            mechanism: "in the program, lists of the region would do",
+        },
+        Gap {
+            what: "memory with the whole list, now".into(),
+            asks: s.slopes.at("memory-by-stores-now", stores),
             bound: a.control_mb,
             unit: "MB",
-            mechanism: "in the program",
+            state: CARRIED,
+            mechanism: "the same",
+        },
+        Gap {
+            what: "processor time without queries, build before".into(),
+            asks: idle("before"),
+            bound: a.control_core * 100.0,
+            unit: "% of a core",
+            state: BUILT,
+            mechanism: "a step that costs what it was told and what is due",
+        },
+        Gap {
+            what: "processor time without queries, now".into(),
+            asks: idle("now"),
+            bound: a.control_core * 100.0,
+            unit: "% of a core",
+            state: CARRIED,
+            mechanism: "the same",
         },
     ];
+    gaps.extend(PARTS.map(|(what, series)| Gap {
+        what: format!("processor time of parts, {what}"),
+        asks: s.part_cores(series),
+        bound: 1.0,
+        unit: "cores",
+        state: MISSING,
+        mechanism: "more than one serving thread, or more than one process an aggregator",
+    }));
     let factor = |gap: &Gap| gap.asks.as_ref().map_or(f64::NEG_INFINITY, |asks| asks.value / gap.bound);
     gaps.sort_by(|a, b| factor(b).total_cmp(&factor(a)));
     let row = |(no, gap): (usize, &Gap)| {
         let asks = gap.asks.as_ref();
         vec![
             (no + 1).to_string(),
-            gap.what.to_string(),
+            gap.what.clone(),
             asks.map_or("not measured".into(), |asks| format!("{} {}", number(asks.value), gap.unit)),
             format!("{} {}", number(gap.bound), gap.unit),
             asks.map_or("-".into(), |_| number(factor(gap))),
             asks.map_or("-".into(), rests_on),
+            gap.state.to_string(),
             gap.mechanism.to_string(),
         ]
     };
-    let head = ["", "what", "asked for", "there may be", "times", "rests on", "the mechanism"];
+    let head = ["", "what", "asked for", "there may be", "times", "rests on", "state", "the mechanism"];
     table(&head, &gaps.iter().enumerate().map(row).collect::<Vec<_>>())
 }
--- a/crates/lab/src/capacity/assumptions.rs
+++ b/crates/lab/src/capacity/assumptions.rs
@@ -51,8 +51,6 @@
     pub busy: f64,
     pub rack_stores: f64,
     pub machine_mb_per_s: f64,
-    pub call_text_bytes: f64,
-    pub value_bytes: f64,
     pub cold_from: f64,
     pub cold_multiple: f64,
     pub cold_window_ms: f64,
--- a/crates/lab/src/capacity/fit.rs
+++ b/crates/lab/src/capacity/fit.rs
@@ -104,15 +104,24 @@
     }
 }
 
+/// Where a figure lies against what was measured, with the fit's error.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Place {
+    /// It is a measured point itself.
+    Measured,
+    /// Inside the range.
+    Inside(f64),
+    /// So many times beyond it.
+    Beyond(f64, f64),
+}
+
 /// What a figure was worked out from.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Basis {
     /// The series.
     pub series: String,
-    /// How many times beyond the range the figure is; 1 inside.
-    pub beyond: f64,
-    /// The fit's error.
-    pub rms: f64,
+    /// Where in the measured range.
+    pub place: Place,
 }
 
 /// A figure and what it rests on: measured series, or on none but the assumptions.
@@ -167,20 +176,30 @@
         self.0.iter()
     }
 
-    fn fit(&self, name: &str) -> Option<&Fit> {
-        self.0.iter().find(|(series, _)| series.name == name).map(|(_, fit)| fit)
+    fn named(&self, name: &str) -> Option<&(Series, Fit)> {
+        self.0.iter().find(|(series, _)| series.name == name)
     }
 
-    /// What a series says at some `x`; none if it was not measured.
+    /// What a series says at some `x`: what was measured just there, else the line; none if it was not measured.
     pub fn at(&self, name: &str, x: f64) -> Option<Figure> {
-        let fit = self.fit(name)?;
-        let basis = Basis { series: name.to_string(), beyond: fit.beyond(x), rms: fit.rms };
-        Some(Figure { value: fit.at(x), bases: vec![basis] })
+        let (series, fit) = self.named(name)?;
+        let there: Vec<f64> =
+            series.points.iter().filter(|point| point[0] == x).map(|point| point[1]).collect();
+        let (value, place) = match there.len() {
+            0 if fit.beyond(x) > 1.0 => (fit.at(x), Place::Beyond(fit.beyond(x), fit.rms)),
+            0 => (fit.at(x), Place::Inside(fit.rms)),
+            count => (there.iter().sum::<f64>() / count as f64, Place::Measured),
+        };
+        Some(Figure { value, bases: vec![Basis { series: name.to_string(), place }] })
     }
 
     /// What each step of a series' `x` adds, for so many of them.
     pub fn each(&self, name: &str, x: f64) -> Option<Figure> {
-        let fit = self.fit(name)?;
-        Some(Figure { value: fit.slope, ..self.at(name, x)? })
+        let (_, fit) = self.named(name)?;
+        let place = match fit.beyond(x) {
+            beyond if beyond > 1.0 => Place::Beyond(beyond, fit.rms),
+            _ => Place::Inside(fit.rms),
+        };
+        Some(Figure { value: fit.slope, bases: vec![Basis { series: name.to_string(), place }] })
     }
 }
--- a/crates/lab/src/capacity/roles.rs
+++ b/crates/lab/src/capacity/roles.rs
@@ -7,6 +7,14 @@
 /// What carries a row where nothing does yet.
 const MISSING: &str = "**missing**: ";
 
+/// Series of processor time by parts a second, and under which load each was measured.
+pub const PARTS: [(&str, &str); 4] = [
+    ("build before, as many in flight as it takes (600 run stores)", "part-cpu-busy-before"),
+    ("build before, at a given rate (60 run stores)", "part-cpu-before"),
+    ("now, as many in flight as it takes (600 run stores)", "part-cpu-busy-now"),
+    ("now, at a given rate (60 run stores)", "part-cpu-now"),
+];
+
 struct Role {
     name: &'static str,
     rows: Vec<Vec<String>>,
@@ -54,128 +62,92 @@
 
 fn serving(s: &Sizes) -> Block {
     let mut role = Role::new("aggregator-serving");
-    role.assumed(
-        "queries open, a second's worth times the wanted time",
-        s.open,
-        "queries",
-        "`src/core/ledger.rs`",
-    );
-    role.assumed("parts in flight", s.in_flight, "parts", "`src/decide.rs` (`flights`)");
-    role.assumed("queries a second", s.queries, "queries a second", "`src/front`");
-    role.assumed(
-        "messages a second, to and from run stores",
-        s.parts * 2.0,
-        "messages a second",
-        "`src/transport`",
-    );
-    let (call, answer) = s.part_bytes;
-    role.assumed(
-        "bytes to run stores",
-        s.parts * call / 1e6,
-        "MB a second",
-        "`src/transport/frames/codec.rs`",
-    );
-    role.assumed(
-        "bytes from run stores",
-        s.parts * answer / 1e6,
-        "MB a second",
-        "`src/transport/frames/codec.rs`",
-    );
-    role.measured(
-        "processor time of parts, from client to answer, while few are in flight",
-        s.part_core(),
-        "cores",
-        &format!("one thread (`src/service/program.rs`); {MISSING}more than one"),
-    );
+    let (stores, flights) = (s.a.run_stores, s.in_flight);
+    let at = |series: &str, x: f64| s.slopes.at(series, x);
+    role.assumed("queries open, if each takes the wanted time", s.open, "queries", "`src/core/ledger.rs`");
+    role.assumed("parts in flight", flights, "parts", "`src/decide.rs` (`flights`)");
+    role.assumed("queries", s.queries, "a second", "`src/front`");
+    role.assumed("messages, to and from run stores", s.parts * 2.0, "a second", "`src/transport`");
+    let bytes = at("part-bytes", flights).map(|each| each.times(s.parts / 1e6));
+    role.measured("bytes, to and from run stores", bytes, "MB a second", "`src/transport/frames/codec.rs`");
+    let one = format!("one thread (`src/service/program.rs`); {MISSING}more than one");
+    for (what, series) in PARTS {
+        role.measured(&format!("processor time of parts, {what}"), s.part_cores(series), "cores", &one);
+    }
     role.measured(
-        "processor time of quiet ticks, build before, all run stores listed",
-        s.tick_before(s.a.run_stores, s.in_flight).map(|tick| s.of_core(&tick)),
+        "processor time of quiet ticks, build before",
+        s.tick_before(stores, flights).map(|tick| s.of_core(&tick)),
         "cores",
-        &format!("`src/decide.rs`; {MISSING}steps that cost what is due"),
+        "nothing: `src/decide.rs` walked all run stores and parts",
     );
+    let ticks = s.tick_now(flights).map(|tick| s.of_core(&tick));
+    role.measured("processor time of quiet ticks, now", ticks, "cores", "`src/decide.rs`");
+    let memory = at("memory-by-flights-before", flights);
     role.measured(
-        "processor time of quiet ticks, now",
-        s.tick_now(s.a.run_stores, s.in_flight).map(|tick| s.of_core(&tick)),
-        "cores",
-        "`src/decide.rs`",
-    );
-    role.measured(
-        "memory of parts in flight",
-        s.slopes.each("memory-by-flights", s.in_flight).map(|each| each.times(s.in_flight)),
+        "memory with these parts in flight and few run stores",
+        memory,
         "MB",
-        "`src/core/ledger.rs`, `src/decide.rs`",
-    );
-    role.assumed("connections to run stores, all of them", s.a.run_stores, "connections", "`src/transport`");
-    role.assumed(
-        "connections to run stores, chosen holders of the region's blocks",
-        s.connections,
-        "connections",
-        &format!("{MISSING}subsets by rendezvous hashing"),
+        "`src/core`, `src/decide.rs`",
     );
+    role.measured("memory of the module, now", at("state-now", stores), "MB", "`src/decide.rs`");
+    role.assumed("connections to run stores, all of them", stores, "connections", "`src/transport`");
+    let subset = format!("{MISSING}subsets by rendezvous hashing");
+    role.assumed("connections to run stores, chosen holders", s.connections, "connections", &subset);
+    let descriptors = at("descriptors-by-connections", s.connections);
     role.measured(
         "descriptors, with those",
-        s.slopes.at("descriptors-by-connections", s.connections),
+        descriptors,
         "descriptors",
-        "`src/config.rs` (`store_connections`): twice as many have to be allowed",
-    );
-    role.measured(
-        "memory of those connections",
-        s.slopes.each("memory-by-connections", s.connections).map(|each| each.times(s.connections)),
-        "MB",
-        "`src/transport`",
+        "`src/config.rs`: twice as many to be allowed",
     );
+    let memory = at("memory-by-connections", s.connections);
+    role.measured("memory with those connections", memory, "MB", "`src/transport`");
     role.block()
 }
 
 fn control(s: &Sizes) -> Block {
     let mut role = Role::new("aggregator-control");
+    let (stores, own) = (s.a.run_stores, s.own_lines);
+    let at = |series: &str, x: f64| s.slopes.at(series, x);
     let subset = format!("{MISSING}a list of what concerns the aggregator");
-    role.assumed(
-        "lines held, whole list",
-        s.a.run_stores,
-        "lines",
-        "`src/core/ledger.rs` (`places`), `src/decide.rs`",
-    );
-    role.assumed("lines held, own region", s.own_lines, "lines", &subset);
-    role.measured("memory, whole list", s.slopes.at("memory-by-stores", s.a.run_stores), "MB", "the same");
-    role.measured("memory, own region", s.slopes.at("memory-by-stores", s.own_lines), "MB", &subset);
-    let messages = |changes: f64| (s.watch_calls + changes) * 2.0;
-    role.assumed(
-        "messages of the watch, all changes",
-        messages(s.changes),
-        "a second",
-        "`src/directory/watch.rs`",
-    );
-    role.assumed(
-        "bytes of the watch, all changes",
-        s.watch_bytes(s.changes) / 1000.0,
-        "KB a second",
+    role.assumed("lines held, whole list", stores, "lines", "`src/core/ledger.rs`, `src/decide.rs`");
+    role.assumed("lines held, own region", own, "lines", &subset);
+    role.measured(
+        "memory, whole list, build before",
+        at("memory-by-stores-before", stores),
+        "MB",
         "the same",
     );
+    role.measured("memory, whole list, now", at("memory-by-stores-now", stores), "MB", "the same");
+    role.measured("memory, own region, now", at("memory-by-stores-now", own), "MB", &subset);
+    let hollow = at("control-memory-before", stores);
+    role.measured("memory, whole list, as a hollow aggregator of many", hollow, "MB", "the same");
+    let messages = at("watch-messages", s.changes);
+    role.measured("messages of the watch, all changes", messages, "a second", "`src/directory/watch.rs`");
+    let bytes = at("watch-bytes", s.changes).map(|bytes| bytes.times(1e-3));
+    role.measured("bytes of the watch, all changes", bytes, "KB a second", "`src/directory/watch.rs`");
     role.assumed(
         "bytes of the watch, own region",
-        s.watch_bytes(s.own_changes) / 1000.0,
+        s.watch_bytes(s.own_changes) / 1e3,
         "KB a second",
         &subset,
     );
+    let cores = |figure: Option<Figure>| figure.map(|us| us.times(1e-6));
+    let idle = |build: &str| cores(at(&format!("idle-cpu-by-stores-{build}"), stores));
+    role.measured("processor time without queries, build before", idle("before"), "cores", "`src/decide.rs`");
+    role.measured("processor time without queries, now", idle("now"), "cores", "`src/decide.rs`");
+    let hollow = cores(at("control-cpu-before", stores));
+    role.measured("processor time with a change a second, build before", hollow, "cores", "`src/decide.rs`");
+    let changes = |figure: Option<Figure>| figure.map(|each| each.times(s.changes / 1e6));
+    let before = changes(at("change-before", stores * s.in_flight));
     role.measured(
-        "processor time of an idle aggregator with the whole list, build before",
-        s.slopes.at("idle-cpu-by-stores", s.a.run_stores).map(|idle| idle.times(1e-6)),
-        "cores",
-        "`src/decide.rs`, `src/core/drive.rs`",
-    );
-    role.measured(
-        "processor time of changes, build before",
-        s.slopes.at("change-before", s.a.run_stores * s.in_flight).map(|each| each.times(s.changes / 1e6)),
-        "cores",
-        "`src/decide.rs`",
-    );
-    role.measured(
-        "processor time of changes, now",
-        s.slopes.at("change-by-stores", s.a.run_stores).map(|each| each.times(s.changes / 1e6)),
+        "processor time of changes in the module, build before",
+        before,
         "cores",
         "`src/decide.rs`",
     );
+    let now = changes(at("change-now", s.in_flight));
+    role.measured("processor time of changes in the module, now", now, "cores", "`src/decide.rs`");
     role.assumed("connections to discovery", 1.0, "connection", "`src/directory/watch.rs`");
     role.block()
 }
@@ -184,89 +156,88 @@
     let mut role = Role::new("run-store");
     role.assumed("parts, from all aggregators", s.store_parts, "a second", "`src/decide.rs` (least finish)");
     role.assumed("parts out there", s.store_parts * s.a.part_ms / 1000.0, "parts", "`src/pace.rs`");
-    let (call, answer) = s.part_bytes;
-    role.assumed("bytes in and out", s.store_parts * (call + answer) / 1e6, "MB a second", "`src/transport`");
-    role.assumed("connections, all to all", s.a.aggregators, "connections", "`src/transport`");
-    let subset = format!("{MISSING}subsets by rendezvous hashing");
-    role.assumed("connections, chosen holders", s.senders, "connections", &subset);
+    role.assumed("messages in and out", s.store_parts * 2.0, "a second", "`src/transport`");
+    let bytes = s.slopes.at("part-bytes", s.in_flight).map(|each| each.times(s.store_parts / 1e6));
+    role.measured("bytes in and out", bytes, "MB a second", "`src/transport`");
     role.assumed(
-        "parts a second on each connection, all to all",
-        s.store_parts / s.a.aggregators,
-        "a second",
+        "connections and descriptors, all to all",
+        s.a.aggregators,
+        "connections",
         "`src/transport`",
     );
+    let subset = format!("{MISSING}subsets by rendezvous hashing");
+    role.assumed("connections and descriptors, chosen holders", s.senders, "connections", &subset);
+    let each = |senders: f64| s.store_parts / senders;
     role.assumed(
-        "parts a second on each connection, chosen holders",
-        s.store_parts / s.senders,
+        "parts on each connection, all to all",
+        each(s.a.aggregators),
         "a second",
-        &subset,
-    );
-    role.measured(
-        "processor time of a connection that is made",
-        s.slopes.at("store-accepts", s.senders),
-        "us",
-        "the run stores' own",
+        "`src/transport`",
     );
+    role.assumed("parts on each connection, chosen holders", each(s.senders), "a second", &subset);
+    role.measured("processor time and memory of a connection there", None, "", "the run stores' own");
     role.block()
 }
 
 fn discovery(s: &Sizes) -> Block {
     let mut role = Role::new("discovery");
+    let (all, few) = (s.a.aggregators, s.a.control_machines);
     let tree = format!("{MISSING}a tier of control machines that watch for the aggregators");
     role.assumed("lines held", s.a.run_stores, "lines", "the platform's");
-    role.measured("a whole list", Some(s.list_bytes(s.a.run_stores).times(1e-6)), "MB", "the platform's");
+    let whole = s.list_bytes(s.a.run_stores).times(1e-6);
+    role.measured("a whole list", Some(whole), "MB", "the platform's");
     role.assumed("lines that change", s.changes, "a second", "the platform's");
-    role.assumed("watchers, today", s.a.aggregators, "connections", "`src/directory/watch.rs`");
-    role.assumed("watchers, through control machines", s.a.control_machines, "connections", &tree);
-    let calls = |watchers: f64| watchers * (s.watch_calls + s.changes);
-    role.assumed(
-        "calls, today",
-        calls(s.a.aggregators),
-        "a second",
-        "`src/directory/watch.rs`, `src/asking.rs`",
-    );
-    role.assumed("calls, through control machines", calls(s.a.control_machines), "a second", &tree);
-    role.assumed(
-        "bytes out, today",
-        s.a.aggregators * s.watch_bytes(s.changes) / 1e6,
-        "MB a second",
+    // The series of watchers were measured at one change a second.
+    let at =
+        |series: &str, watchers: f64, by: f64| s.slopes.at(series, watchers).map(|figure| figure.times(by));
+    for (how, watchers, carried) in
+        [("today", all, "`src/directory/watch.rs`"), ("through control machines", few, tree.as_str())]
+    {
+        role.assumed(&format!("watchers, {how}"), watchers, "connections", carried);
+        for (what, series, by, unit) in [
+            ("calls at a change a second", "discovery-calls", 1.0, "a second"),
+            ("bytes out at a change a second", "discovery-bytes", 1e-3, "KB a second"),
+            ("processor time at a change a second", "discovery-cpu", 1e-3, "cores"),
+            ("memory, few lines", "discovery-memory", 1.0, "MB"),
+            ("descriptors", "discovery-descriptors", 1.0, "descriptors"),
+        ] {
+            role.measured(&format!("{what}, {how}"), at(series, watchers, by), unit, carried);
+        }
+    }
+    let lines = s.slopes.at("discovery-memory-by-lines", s.a.run_stores);
+    role.measured("memory with the whole list, few watchers", lines, "MB", "the platform's");
+    let told = s.slopes.at("change-in-force", all);
+    role.measured(
+        "a change in force at the last aggregator, p99, nothing fails",
+        told,
+        "ms",
         "`src/directory/watch.rs`",
     );
-    role.assumed(
-        "bytes out, through control machines",
-        s.a.control_machines * s.watch_bytes(s.changes) / 1e3,
-        "KB a second",
-        &tree,
-    );
     role.block()
 }
 
 fn control_machine(s: &Sizes) -> Block {
     let mut role = Role::new("control-machine");
     let tree = format!("{MISSING}no such program is there");
+    let watchers = s.told_each * 2.0;
     role.measured("state: a whole list", Some(s.list_bytes(s.a.run_stores).times(1e-6)), "MB", &tree);
     role.assumed("aggregators that it tells", s.told_each, "connections", &tree);
-    role.assumed("the same, each told by two", s.told_each * 2.0, "connections", &tree);
-    let calls = |each: f64| each * (s.watch_calls + s.own_changes) * 2.0;
-    role.assumed("messages, each told by two", calls(s.told_each * 2.0), "a second", &tree);
-    role.assumed(
-        "bytes out, each told by two",
-        s.told_each * 2.0 * s.watch_bytes(s.own_changes) / 1e3,
-        "KB a second",
-        &tree,
-    );
-    role.measured(
-        "processor time, by a stand-in",
-        s.slopes.at("relay-cpu-by-watchers", s.told_each * 2.0).map(|us| us.times(1e-6)),
-        "cores",
-        &tree,
-    );
-    role.measured(
-        "memory, by a stand-in",
-        s.slopes.at("relay-memory-by-watchers", s.told_each * 2.0),
-        "MB",
-        &tree,
-    );
+    role.assumed("watchers, each aggregator told by two", watchers, "connections", &tree);
+    for (what, series, by, unit) in [
+        ("calls", "discovery-calls", 1.0, "a second"),
+        ("bytes out", "discovery-bytes", 1e-3, "KB a second"),
+        ("processor time", "discovery-cpu", 1e-3, "cores"),
+        ("memory, few lines", "discovery-memory", 1.0, "MB"),
+        ("descriptors", "discovery-descriptors", 1.0, "descriptors"),
+    ] {
+        let figure = s.slopes.at(series, watchers).map(|figure| figure.times(by));
+        role.measured(
+            &format!("{what} at a change a second, as the stand-in for discovery"),
+            figure,
+            unit,
+            &tree,
+        );
+    }
     role.block()
 }
 
--- a/crates/lab/src/capacity/sizes.rs
+++ b/crates/lab/src/capacity/sizes.rs
@@ -2,7 +2,6 @@
 
 use ironpaddle::asking::WAIT;
 use ironpaddle::http::write;
-use ironpaddle::transport::frames::codec;
 
 use super::assumptions::Assumptions;
 use super::fit::{Figure, Slopes};
@@ -52,8 +51,6 @@
     pub call_bytes: f64,
     /// See `call_bytes`.
     pub answer_bytes: f64,
-    /// Bytes of a part's call and of its answer on the platform's wire.
-    pub part_bytes: (f64, f64),
 }
 
 impl<'a> Sizes<'a> {
@@ -68,12 +65,6 @@
             (a.changes_per_day + (a.restarts_per_day + a.failures_per_day) * a.lines_per_restart) / DAY;
         let request =
             write::request("GET", "/v1/servers?after=1234567&wait_ms=3000", "10.1.0.18:8080", &[], &[]);
-        let text = vec![b'x'; a.call_text_bytes as usize];
-        let id = "9b1f03aa5c7e2d41.12345";
-        let call =
-            codec::call([codec::Part { id, shard: 12345, wait: 240, key: None, text: &text }].into_iter());
-        // The length of a frame, its letter, the end's line and the value.
-        let answer = 5 + format!("{id} S 1840277719 inflight=79,util=0.61,qps=3930\n").len();
         Sizes {
             a,
             slopes,
@@ -94,7 +85,6 @@
             watch_calls: 1000.0 / WAIT,
             call_bytes: request.len() as f64,
             answer_bytes: EMPTY_ANSWER.len() as f64,
-            part_bytes: (call.len() as f64, answer as f64 + a.value_bytes),
         }
     }
 
@@ -108,10 +98,9 @@
         self.slopes.at("quiet-tick-before", stores * flights)
     }
 
-    /// A quiet tick now.
-    pub fn tick_now(&self, stores: f64, flights: f64) -> Option<Figure> {
-        let by_flights = self.slopes.at("quiet-tick-by-flights", flights)?;
-        Some(by_flights.plus(&self.slopes.each("quiet-tick-by-stores", stores)?.times(stores)))
+    /// A quiet tick now, at so many parts in flight and all run stores.
+    pub fn tick_now(&self, flights: f64) -> Option<Figure> {
+        self.slopes.at("quiet-tick-now", flights)
     }
 
     /// The share of a core that quiet ticks take, from what one takes in microseconds.
@@ -119,9 +108,15 @@
         tick_us.times(1.0 / (self.a.tick_ms * 1000.0))
     }
 
-    /// The share of a core that parts take from client to answer.
-    pub fn part_core(&self) -> Option<Figure> {
-        Some(self.slopes.each("part-cpu", self.parts)?.times(self.parts / 1e6))
+    /// The cores that all parts take from client to answer, by a series of processor time by parts a second.
+    pub fn part_cores(&self, series: &str) -> Option<Figure> {
+        Some(self.slopes.at(series, self.parts)?.times(1e-6))
+    }
+
+    /// A whole list that is known already, taken in: read, handed on and taken up by the module; in milliseconds.
+    pub fn taken_in(&self, build: &str) -> Option<Figure> {
+        let of = |what: &str| self.slopes.at(&format!("{what}-{build}"), self.a.run_stores);
+        Some(of("list-parsed")?.plus(&of("list-routed")?).plus(&of("whole-list-module")?))
     }
 
     /// Bytes that a watcher gets, when so many lines change a second.
--- a/crates/lab/src/capacity/tests.rs
+++ b/crates/lab/src/capacity/tests.rs
@@ -32,7 +32,7 @@
     let printed = blocks(&list, &known, &slopes(SLOPES).unwrap());
     let filled = fill(PAGE, &printed).unwrap();
     assert!(filled == PAGE, "`ironpaddle-lab capacity --page docs/CAPACITY.md` brings the page up to date");
-    let measured = slopes("[[series]]\nname='part-cpu'\nx='x'\nunit='us'\ncommand='c'\nfixed='f'\nbuild='b'\npoints=[[100,1000],[1000,10000]]").unwrap();
+    let measured = slopes("[[series]]\nname='part-cpu-before'\nx='x'\nunit='us'\ncommand='c'\nfixed='f'\nbuild='b'\npoints=[[100,1000],[1000,10000]]").unwrap();
     let other = blocks(
         &list,
         &Assumptions { aggregators: 40.0, run_stores: 600.0, queries_per_s: 8000.0, ..known },
@@ -40,8 +40,8 @@
     );
     let part = block(&other, "part");
     assert!(part.contains("| 28,000 a second | assumptions |"), "{part}");
-    assert!(part.contains("| 0.28 cores | `part-cpu`, extrapolated 28 times, error 0 % |"), "{part}");
-    assert!(part.contains("by the parts of a query | not measured | - |"), "{part}");
+    assert!(part.contains("| 0.28 cores | `part-cpu-before`, extrapolated 28 times, error 0 % |"), "{part}");
+    assert!(part.contains("a second, now | not measured | - |"), "{part}");
     assert!(block(&other, "connections").contains("| 24,000 connections | assumptions |"));
     assert!(block(&other, "missing").lines().last().unwrap().contains("not measured"));
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod links;
 mod logs;
+mod measure;
 mod model;
 mod report;
 mod scale;
@@ -59,6 +60,8 @@
     },
     /// Print what the full size asks of each role, worked out from measured slopes.
     Capacity(capacity::Options),
+    /// Measure series of one real aggregator for the tables of `capacity`.
+    Measure(measure::Options),
     /// Be an aggregator; the demo starts such processes of itself.
     #[command(hide = true)]
     Aggregator {
@@ -75,6 +78,7 @@
         Command::ScaleRole { role } => scale::roles::play(role),
         Command::Aggregator { config } => aggregators::be(&config).map(|()| true),
         Command::LogCost { lines } => logs::cost(lines).map(|()| true),
+        Command::Measure(options) => measure::run(&options).map(|()| true),
         Command::Capacity(options) => match capacity::run(&options) {
             Ok(()) => Ok(true),
             Err(message) => {
--- a/crates/lab/src/stores.rs
+++ b/crates/lab/src/stores.rs
@@ -148,6 +148,11 @@
         self.with(|state| state.model.speed = 1.0 / by);
     }
 
+    /// Connections that it has taken since its process started.
+    pub fn connections(&self) -> usize {
+        self.with(|state| state.connections.len())
+    }
+
     /// Whether it takes parts and says no word.
     pub fn mute(&self, muted: bool) {
         self.with(|state| state.muted = muted);
