Show the series that the tables use, beside those of the module's whole grid

Cause: the module's benchmark brought its own series into docs/measurements/slopes.toml, without the build; the page would list all. Change: each series names its build; the page lists those that a table asked for. Cold starts are played with the sums that `cold::Traffic` takes now.

--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -86,13 +86,12 @@
 
 fn blocks(list: &[Assumption], assumptions: &Assumptions, slopes: &Slopes) -> Vec<Block> {
     let sizes = Sizes::new(assumptions, slopes);
-    let mut blocks = vec![
-        Block { name: "assumptions", text: assumed(list) },
-        Block { name: "series", text: measured(slopes) },
-        Block { name: "commands", text: commands(slopes) },
-    ];
+    let mut blocks = vec![Block { name: "assumptions", text: assumed(list) }];
     blocks.extend(roles::blocks(&sizes));
     blocks.extend(answers::blocks(&sizes));
+    // Last, as only those are shown that the other tables use.
+    blocks.push(Block { name: "series", text: measured(slopes) });
+    blocks.push(Block { name: "commands", text: commands(slopes) });
     blocks
 }
 
@@ -131,11 +130,11 @@
             series.build.clone(),
         ]
     };
-    table(&head, &slopes.all().map(row).collect::<Vec<_>>())
+    table(&head, &slopes.used().into_iter().map(row).collect::<Vec<_>>())
 }
 
 fn commands(slopes: &Slopes) -> String {
-    slopes.all().fold(String::new(), |mut text, (series, _)| {
+    slopes.used().into_iter().fold(String::new(), |mut text, (series, _)| {
         let points: Vec<_> =
             series.points.iter().map(|[x, y]| format!("{} {}", number(*x), number(*y))).collect();
         let _ = writeln!(
--- a/crates/lab/src/capacity/answers.rs
+++ b/crates/lab/src/capacity/answers.rs
@@ -7,7 +7,7 @@
 use super::number::{number, percent};
 use super::ramp::{self, Sender};
 use super::roles::PARTS;
-use super::sizes::Sizes;
+use super::sizes::{whole_list_module, Sizes};
 use super::subset::{self, Choice, Region, Spread};
 use super::{plain, rests_on, row, table, Block};
 
@@ -60,7 +60,7 @@
         before.as_ref(),
         "us",
     ));
-    let now = s.slopes.at("step-now", s.in_flight);
+    let now = s.slopes.at("module_step_by_in_flight_at_57000", s.in_flight);
     rows.push(row("the same, now, all run stores", now.as_ref(), "us"));
     rows
 }
@@ -264,12 +264,12 @@
     let mut rows = vec![at("its bytes, in the longest form that is expected", "list-bytes-long", 1e-6, "MB")];
     for (build, flights) in [("before", "100"), ("now", "5,600")] {
         let told = if build == "before" { "build before" } else { "now" };
-        for (what, series) in [
-            ("read and parsed".to_string(), "list-parsed"),
-            ("handed on by the core, all lines known".into(), "list-routed"),
-            (format!("taken up by the module, {flights} in flight"), "whole-list-module"),
+        for (what, series, by) in [
+            ("read and parsed".to_string(), format!("list-parsed-{build}"), 1.0),
+            ("handed on by the core, all lines known".into(), format!("list-routed-{build}"), 1.0),
+            (format!("taken up by the module, {flights} in flight"), whole_list_module(build).into(), 1e-3),
         ] {
-            rows.push(at(&format!("{what}, {told}"), &format!("{series}-{build}"), 1.0, "ms"));
+            rows.push(at(&format!("{what}, {told}"), &series, by, "ms"));
         }
         rows.push(row(&format!("all of it, {told}"), s.taken_in(build).as_ref(), "ms"));
         rows.push(at(
--- a/crates/lab/src/capacity/fit.rs
+++ b/crates/lab/src/capacity/fit.rs
@@ -1,5 +1,8 @@
 //! Measured series, the lines fitted to them, and figures worked out from those.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+
 use serde::Deserialize;
 
 /// The form that is fitted to a series.
@@ -151,8 +154,11 @@
     }
 }
 
-/// All series with their fits.
-pub struct Slopes(Vec<(Series, Fit)>);
+/// All series with their fits, and which of them were asked for.
+pub struct Slopes {
+    all: Vec<(Series, Fit)>,
+    used: RefCell<BTreeSet<String>>,
+}
 
 impl Slopes {
     /// Fits all.
@@ -168,16 +174,19 @@
             let fit = one.fit()?;
             all.push((one, fit));
         }
-        Ok(Slopes(all))
+        Ok(Slopes { all, used: RefCell::default() })
     }
 
-    /// Every series, in the file's order.
-    pub fn all(&self) -> impl Iterator<Item = &(Series, Fit)> {
-        self.0.iter()
+    /// The series that any figure was asked of so far, in the file's order.
+    pub fn used(&self) -> Vec<&(Series, Fit)> {
+        let used = self.used.borrow();
+        self.all.iter().filter(|(series, _)| used.contains(&series.name)).collect()
     }
 
     fn named(&self, name: &str) -> Option<&(Series, Fit)> {
-        self.0.iter().find(|(series, _)| series.name == name)
+        let found = self.all.iter().find(|(series, _)| series.name == name)?;
+        self.used.borrow_mut().insert(name.to_string());
+        Some(found)
     }
 
     /// What a series says at some `x`: what was measured just there, else the line; none if it was not measured.
--- a/crates/lab/src/capacity/ramp.rs
+++ b/crates/lab/src/capacity/ramp.rs
@@ -1,7 +1,7 @@
 //! What a cold run store gets from all of its senders together, by the program's own rule (`src/cold.rs`).
 
 use ironpaddle::api::{ColdRule, LoadReport};
-use ironpaddle::cold::{room, Traffic};
+use ironpaddle::cold::{room, Reports, Traffic};
 use ironpaddle::hash::draw;
 
 /// A cold run store and one of its senders. Rates are in parts a second.
@@ -55,6 +55,8 @@
         throughput: Some(sender.parts),
         ..LoadReport::default()
     };
+    let mut reports = Reports::default();
+    (0..sender.stores).for_each(|_| reports.add(report, None));
     let (start, end) = (BEFORE as f64 * 1000.0, BEFORE as f64 * 1000.0 + rule.warm_within);
     let wanted = sender.parts / sender.senders;
     let seconds = (rule.warm_within / 1000.0).ceil() as usize;
@@ -67,7 +69,7 @@
     let mut queries = 0.0;
     for now in 0..end as usize {
         if now % LOOK == 0 {
-            traffic.told(now as f64, Some(*rule), (0..sender.stores).map(|_| (report, None)));
+            traffic.told(now as f64, Some(*rule), &reports);
         }
         queries += sender.queries / 1000.0;
         while queries >= 1.0 {
--- a/crates/lab/src/capacity/roles.rs
+++ b/crates/lab/src/capacity/roles.rs
@@ -89,7 +89,12 @@
         "MB",
         "`src/core`, `src/decide.rs`",
     );
-    role.measured("memory of the module, now", at("state-now", stores), "MB", "`src/decide.rs`");
+    role.measured(
+        "memory of the module, now",
+        at("module_state_by_stores_at_5600", stores).map(|bytes| bytes.times(1e-6)),
+        "MB",
+        "`src/decide.rs`",
+    );
     role.assumed("connections to run stores, all of them", stores, "connections", "`src/transport`");
     let subset = format!("{MISSING}subsets by rendezvous hashing");
     role.assumed("connections to run stores, chosen holders", s.connections, "connections", &subset);
@@ -146,7 +151,7 @@
         "cores",
         "`src/decide.rs`",
     );
-    let now = changes(at("change-now", s.in_flight));
+    let now = changes(at("module_changed_line_by_in_flight_at_57000", s.in_flight));
     role.measured("processor time of changes in the module, now", now, "cores", "`src/decide.rs`");
     role.assumed("connections to discovery", 1.0, "connection", "`src/directory/watch.rs`");
     role.block()
--- a/crates/lab/src/capacity/sizes.rs
+++ b/crates/lab/src/capacity/sizes.rs
@@ -100,7 +100,7 @@
 
     /// A quiet tick now, at so many parts in flight and all run stores.
     pub fn tick_now(&self, flights: f64) -> Option<Figure> {
-        self.slopes.at("quiet-tick-now", flights)
+        self.slopes.at("module_quiet_tick_by_in_flight_at_57000", flights)
     }
 
     /// The share of a core that quiet ticks take, from what one takes in microseconds.
@@ -115,8 +115,9 @@
 
     /// A whole list that is known already, taken in: read, handed on and taken up by the module; in milliseconds.
     pub fn taken_in(&self, build: &str) -> Option<Figure> {
-        let of = |what: &str| self.slopes.at(&format!("{what}-{build}"), self.a.run_stores);
-        Some(of("list-parsed")?.plus(&of("list-routed")?).plus(&of("whole-list-module")?))
+        let of = |series: &str| self.slopes.at(series, self.a.run_stores);
+        let (parsed, routed) = (of(&format!("list-parsed-{build}"))?, of(&format!("list-routed-{build}"))?);
+        Some(parsed.plus(&routed).plus(&of(whole_list_module(build))?.times(1e-3)))
     }
 
     /// Bytes that a watcher gets, when so many lines change a second.
@@ -124,3 +125,11 @@
         (self.watch_calls + changes) * (self.call_bytes + self.answer_bytes) + changes * self.a.line_bytes
     }
 }
+
+/// The series of a whole list taken up by the module, in microseconds.
+pub fn whole_list_module(build: &str) -> &'static str {
+    match build {
+        "before" => "whole-list-module-before",
+        _ => "module_whole_list_by_stores_at_5600",
+    }
+}
