--- a/src/budget.rs
+++ b/src/budget.rs
@@ -1,19 +1,23 @@
 //! The stated limit on attempts past the first of each part, within a window.
 
+use std::collections::VecDeque;
+
 use serde::{Deserialize, Serialize};
 
 use crate::api::{AttemptBudget, Millis};
 
-/// What was taken (queries and parts), and sent again (true), within the window.
+/// What was taken (queries and parts), and sent again (true), within the window, in order of time.
 #[derive(Debug, Default, Clone, Serialize, Deserialize)]
-pub struct Spent(Vec<(Millis, bool)>);
+pub struct Spent(VecDeque<(Millis, bool)>);
 
 impl Spent {
     /// Something was taken, or sent again.
     pub fn note(&mut self, rule: Option<AttemptBudget>, now: Millis, again: bool) {
         if let Some(rule) = rule {
-            self.0.push((now, again));
-            self.0.retain(|(at, _)| *at >= now - rule.window);
+            self.0.push_back((now, again));
+            while self.0.front().is_some_and(|(at, _)| *at < now - rule.window) {
+                self.0.pop_front();
+            }
         }
     }
 
