--- a/crates/lab/src/capacity/answers.rs
+++ b/crates/lab/src/capacity/answers.rs
@@ -522,9 +522,9 @@
             mechanism: "a watch that names the regions whose lines it wants",
         },
         Gap {
-            what: "connections of a run store, all to all".into(),
-            asks: Some(Figure::plain(a.aggregators)),
-            bound: s.senders,
+            what: "connections of an aggregator, all to all".into(),
+            asks: Some(Figure::plain(stores)),
+            bound: a.most_connections,
             unit: "connections",
             state: MISSING,
             mechanism: "subsets by rendezvous hashing",
--- a/crates/lab/src/capacity/assumptions.rs
+++ b/crates/lab/src/capacity/assumptions.rs
@@ -43,6 +43,7 @@
     pub part_ms: f64,
     pub holders: f64,
     pub chosen_holders: f64,
+    pub most_connections: f64,
     pub lines_per_restart: f64,
     pub line_bytes: f64,
     pub line_regions: f64,
--- a/crates/lab/src/capacity/roles.rs
+++ b/crates/lab/src/capacity/roles.rs
@@ -223,26 +223,27 @@
 
 fn control_machine(s: &Sizes) -> Block {
     let mut role = Role::new("control-machine");
-    let tree = format!("{MISSING}no such program is there");
-    let watchers = s.told_each * 2.0;
-    role.measured("state: a whole list", Some(s.list_bytes(s.a.run_stores).times(1e-6)), "MB", &tree);
-    role.assumed("aggregators that it tells", s.told_each, "connections", &tree);
-    role.assumed("watchers, each aggregator told by two", watchers, "connections", &tree);
-    for (what, series, by, unit) in [
-        ("calls", "discovery-calls", 1.0, "a second"),
-        ("bytes out", "discovery-bytes", 1e-3, "KB a second"),
-        ("processor time", "discovery-cpu", 1e-3, "cores"),
-        ("memory, few lines", "discovery-memory", 1.0, "MB"),
-        ("descriptors", "discovery-descriptors", 1.0, "descriptors"),
-    ] {
-        let figure = s.slopes.at(series, watchers).map(|figure| figure.times(by));
-        role.measured(
-            &format!("{what} at a change a second, as the stand-in for discovery"),
-            figure,
-            unit,
-            &tree,
-        );
+    let tree = format!("{MISSING}in the lab alone (`crates/lab/src/scale`)");
+    let whole = s.list_bytes(s.a.run_stores).times(1e-6);
+    role.measured("state: a whole list", Some(whole), "MB", &tree);
+    role.assumed("changes, all", s.changes, "a second", &tree);
+    for (told, watchers) in [("each aggregator told by one", s.told_each), ("by two", s.told_each * 2.0)] {
+        role.assumed(&format!("connections, {told}"), watchers, "connections", &tree);
+        let messages = s.slopes.at("watch-messages", s.changes).map(|each| each.times(watchers));
+        role.measured(&format!("messages, {told}"), messages, "a second", &tree);
+        // These were measured at one change a second.
+        for (what, series, by, unit) in [
+            ("bytes at a change a second", "relay-bytes", 1e-3, "KB a second"),
+            ("processor time at a change a second", "relay-cpu", 1e-3, "cores"),
+            ("memory, few lines", "relay-memory", 1.0, "MB"),
+            ("descriptors", "relay-descriptors", 1.0, "descriptors"),
+        ] {
+            let figure = s.slopes.at(series, watchers).map(|figure| figure.times(by));
+            role.measured(&format!("{what}, {told}"), figure, unit, &tree);
+        }
     }
+    let told = s.slopes.at("relay-in-force", s.told_each);
+    role.measured("a change in force at the last aggregator of all, p99, nothing fails", told, "ms", &tree);
     role.block()
 }
 
