Say when a repeat after silence comes too late, and let each missing row stand alone

Rows that said "the same" lost what they meant once sorted. Measured: the 7 tests of `capacity` and the 2 of its commands pass.

--- a/crates/lab/src/capacity/answers.rs
+++ b/crates/lab/src/capacity/answers.rs
@@ -44,6 +44,8 @@
         let each = cores.as_ref().map(|cores| cores.times(1e6 / s.parts));
         rows.push(row(&format!("a part at that rate, {what}"), each.as_ref(), "us"));
         rows.push(row("that is, of an aggregator", cores.as_ref(), "cores"));
+        let more = cores.as_ref().map(|cores| cores.times(s.a.aggregators));
+        rows.push(row("aggregators of one thread for the whole load", more.as_ref(), "aggregators"));
     }
     for (what, series) in [("build before", "query-cpu-before"), ("now", "query-cpu-now")] {
         let query =
@@ -369,6 +371,8 @@
         "of a query's parts, all to all",
         "repeats that a query earns",
         "a second's repeats of all, of these parts",
+        "more parts at each run store that is left",
+        "that is, of its work in a second",
         "connections made anew, all to all (at the return)",
         "the same, chosen holders",
         "at each run store that returns, chosen holders",
@@ -376,6 +380,7 @@
     ];
     let row = |(name, stores): (&str, f64)| {
         let aggregators = a.aggregators * stores / a.run_stores;
+        let more = out_at_each * stores / (a.run_stores - stores);
         let lists =
             s.list_bytes(a.run_stores).times(aggregators / a.control_machines / a.machine_mb_per_s / 1e6);
         vec![
@@ -385,6 +390,8 @@
             number(a.parts_per_query * stores / a.run_stores),
             number(earned),
             format!("{} times", number(all_parts * a.repeat_ratio / (out_at_each * stores))),
+            number(more),
+            percent(more / s.store_parts * a.busy),
             number(stores * a.aggregators),
             number(stores * s.senders),
             number(s.senders),
@@ -395,6 +402,11 @@
     table(&head, &lost.map(row))
 }
 
+/// When an attempt that says nothing is given up and may be repeated, in milliseconds after it was sent.
+fn patience(s: &Sizes) -> f64 {
+    (s.a.wanted_ms * s.a.patience_of_aim).max(s.a.part_ms * s.a.patience_of_usual)
+}
+
 /// The share of parts that may miss their time, so that no more than so many queries do.
 fn late(s: &Sizes) -> f64 {
     1.0 - s.a.served_in_time.powf(1.0 / s.a.parts_per_query)
@@ -436,6 +448,13 @@
         plain("repeats with two, all aggregators", repeats(3) * all, "a second"),
         row("the budget of repeats (`src/repeats.rs`)", Some(&of(s.a.repeat_ratio)), "% of the parts"),
         plain("the same, all aggregators", s.a.repeat_ratio * all, "a second"),
+        plain("an attempt that says nothing is given up after (`src/decide.rs`)", patience(s), "ms"),
+        plain("what is left to its repeat", (s.a.wanted_ms - patience(s)).max(0.0), "ms"),
+        plain(
+            "the usual time of a part up to which half of the wanted time is left",
+            step / 2.0 / s.a.patience_of_usual,
+            "ms",
+        ),
         plain("saved up by an aggregator", (s.a.repeats_saved_by_all / s.a.aggregators).max(1.0), "repeats"),
     ]
 }
@@ -487,7 +506,7 @@
             bound: tick,
             unit: "us",
             state: CARRIED,
-            mechanism: "the same",
+            mechanism: "`src/decide.rs`",
         },
         Gap {
             what: "a whole list at the rate of control".into(),
@@ -511,7 +530,7 @@
             bound: a.whole_list_ms,
             unit: "ms",
             state: CARRIED,
-            mechanism: "the same",
+            mechanism: "`src/directory`, `src/core/route.rs`, `src/decide.rs`",
         },
         Gap {
             what: "the return of a region at the rate of control".into(),
@@ -547,12 +566,14 @@
                 "shares among a run store's own senders (`src/cold.rs`); needed once there are subsets",
         },
         Gap {
-            what: "the same, lists of the region".into(),
+            what: "what a cold run store bears, of what its chosen senders may send it, lists of the region"
+                .into(),
             asks: used(s.region_stores),
             bound: 1.0,
             unit: "times",
             state: MISSING,
-            mechanism: "the same",
+            mechanism:
+                "shares among a run store's own senders (`src/cold.rs`); needed once there are subsets",
         },
         Gap {
             what: "the mean load of what is left of a region of two zones, of what run stores bear".into(),
@@ -576,7 +597,15 @@
             bound: a.repeat_ratio,
             unit: "of the parts",
             state: CARRIED,
-            mechanism: "in the program: `src/repeats.rs`",
+            mechanism: "`src/repeats.rs`",
+        },
+        Gap {
+            what: "a part repeated after silence, at the mean time of a part".into(),
+            asks: Some(Figure::plain(patience(s) + a.part_ms)),
+            bound: a.wanted_ms,
+            unit: "ms",
+            state: MISSING,
+            mechanism: "patience by the spread of parts' times, and not by three times the usual one",
         },
         Gap {
             what: "the watch's bytes, all changes".into(),
@@ -584,7 +613,7 @@
             bound: a.control_kb_per_s,
             unit: "KB a second",
             state: CARRIED,
-            mechanism: "in the program: `src/directory/watch.rs`",
+            mechanism: "`src/directory/watch.rs`",
         },
         Gap {
             what: "memory with the whole list, build before".into(),
@@ -592,7 +621,7 @@
             bound: a.control_mb,
             unit: "MB",
             state: BUILT,
-            mechanism: "in the program, lists of the region would do",
+            mechanism: "smaller records of run stores; lists of the region would do too",
         },
         Gap {
             what: "memory with the whole list, now".into(),
@@ -600,7 +629,7 @@
             bound: a.control_mb,
             unit: "MB",
             state: CARRIED,
-            mechanism: "the same",
+            mechanism: "`src/core`, `src/decide.rs`",
         },
         Gap {
             what: "processor time without queries, build before".into(),
@@ -616,7 +645,7 @@
             bound: a.control_core * 100.0,
             unit: "% of a core",
             state: CARRIED,
-            mechanism: "the same",
+            mechanism: "`src/decide.rs`",
         },
     ];
     gaps.extend(PARTS.map(|(what, series)| Gap {
--- a/crates/lab/src/capacity/assumptions.rs
+++ b/crates/lab/src/capacity/assumptions.rs
@@ -58,6 +58,8 @@
     pub warm_within_ms: f64,
     pub repeat_ratio: f64,
     pub repeats_saved_by_all: f64,
+    pub patience_of_aim: f64,
+    pub patience_of_usual: f64,
     pub scrape_s: f64,
     pub scrape_bytes: f64,
     pub trace_bytes_per_part: f64,
