Ask an aggregator of the lab for its process in one way

Cause: the scale run and the measurements had each added the same call.

Change: one of them is gone.

--- a/crates/lab/src/aggregators.rs
+++ b/crates/lab/src/aggregators.rs
@@ -123,11 +123,6 @@
         Ok((status, String::from_utf8_lossy(&body).into_owned()))
     }
 
-    /// The number of its process, while it runs.
-    pub fn process(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
     /// The CPU that its processes have used, in milliseconds, as the kernel counts it in hundredths of a second.
     pub fn cpu_ms(&self) -> f64 {
         let stat = self
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -303,7 +303,7 @@
     }
 
     fn process(&self) -> Result<String, String> {
-        self.aggregator.process().map(|id| format!("/proc/{id}")).ok_or_else(|| "it does not run".into())
+        self.aggregator.id().map(|id| format!("/proc/{id}")).ok_or_else(|| "it does not run".into())
     }
 
     /// Processor time of all its threads so far, in microseconds.
