--- a/crates/lab/src/capacity/answers.rs
+++ b/crates/lab/src/capacity/answers.rs
@@ -56,6 +56,14 @@
             "us",
         ));
     }
+    for (what, series) in [("build before", "part-cpu-by-stores-before"), ("now", "part-cpu-by-stores-now")] {
+        let each = s.slopes.at(series, s.a.run_stores);
+        rows.push(row(
+            &format!("a part with all run stores listed, 100 in flight, {what}"),
+            each.as_ref(),
+            "us",
+        ));
+    }
     let before = s.slopes.at("step-before", s.a.run_stores * s.in_flight);
     rows.push(row(
         "of which the module: a step in which one comes and one ends, build before",
@@ -478,10 +486,9 @@
     let a = s.a;
     let stores = a.run_stores;
     let tick = tick_bound(s);
-    let idle = |build: &str| {
-        let idle = s.slopes.at(&format!("idle-cpu-by-stores-{build}"), stores);
-        idle.map(|us| us.times(100.0 / 1e6))
-    };
+    let share = |series: String| s.slopes.at(&series, stores).map(|us| us.times(100.0 / 1e6));
+    let idle = |build: &str| share(format!("idle-cpu-by-stores-{build}"));
+    let changing = |build: &str| share(format!("control-cpu-{build}"));
     let whole = s.list_bytes(stores);
     let region = s.list_bytes(s.region_stores);
     let two_zones = spreads.iter().find(|(_, choice, region, _)| {
@@ -639,6 +646,22 @@
             state: BUILT,
             mechanism: "a step that costs what it was told and what is due",
         },
+        Gap {
+            what: "processor time with a change a second, build before".into(),
+            asks: changing("before"),
+            bound: a.control_core * 100.0,
+            unit: "% of a core",
+            state: BUILT,
+            mechanism: "a step that costs what it was told and what is due",
+        },
+        Gap {
+            what: "processor time with a change a second, now".into(),
+            asks: changing("now"),
+            bound: a.control_core * 100.0,
+            unit: "% of a core",
+            state: CARRIED,
+            mechanism: "`src/decide.rs`",
+        },
         Gap {
             what: "processor time without queries, now".into(),
             asks: idle("now"),
--- a/crates/lab/src/capacity/roles.rs
+++ b/crates/lab/src/capacity/roles.rs
@@ -125,8 +125,10 @@
     );
     role.measured("memory, whole list, now", at("memory-by-stores-now", stores), "MB", "the same");
     role.measured("memory, own region, now", at("memory-by-stores-now", own), "MB", &subset);
-    let hollow = at("control-memory-before", stores);
-    role.measured("memory, whole list, as a hollow aggregator of many", hollow, "MB", "the same");
+    for (build, series) in [("build before", "control-memory-before"), ("now", "control-memory-now")] {
+        let what = format!("memory, whole list, as a hollow aggregator of many, {build}");
+        role.measured(&what, at(series, stores), "MB", "the same");
+    }
     let messages = at("watch-messages", s.changes);
     role.measured("messages of the watch, all changes", messages, "a second", "`src/directory/watch.rs`");
     let bytes = at("watch-bytes", s.changes).map(|bytes| bytes.times(1e-3));
@@ -141,8 +143,10 @@
     let idle = |build: &str| cores(at(&format!("idle-cpu-by-stores-{build}"), stores));
     role.measured("processor time without queries, build before", idle("before"), "cores", "`src/decide.rs`");
     role.measured("processor time without queries, now", idle("now"), "cores", "`src/decide.rs`");
-    let hollow = cores(at("control-cpu-before", stores));
-    role.measured("processor time with a change a second, build before", hollow, "cores", "`src/decide.rs`");
+    for (build, series) in [("build before", "control-cpu-before"), ("now", "control-cpu-now")] {
+        let what = format!("processor time with a change a second, {build}");
+        role.measured(&what, cores(at(series, stores)), "cores", "`src/decide.rs`");
+    }
     let changes = |figure: Option<Figure>| figure.map(|each| each.times(s.changes / 1e6));
     let before = changes(at("change-before", stores * s.in_flight));
     role.measured(
