Answer each request that was read, and count its time from its last byte

Cause: a connection took one request out of its parser at a time and went to linger with whole ones in it, in a drain (Connection::serve), after Connection: close and after a flood; the time of each counted from Handler::handle, so that one behind another told run stores up to its whole X-Timeout (3000 ms told with 1500 left in the test). Ruled out: the core, which counts from the time it is given; the transports, which tell what is left by then.

Change: http/inbox.rs reads whole requests as their bytes come, with the time of the last byte; http/connection.rs (out of server.rs, which had grown) goes on behind a shut door for what has been read or has come by then, refuses what stands behind a request that was to be the last, turns down each whole request of a flood, and stops reading 0.1 s before the process ends. Ask carries how long a query waited.

--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -73,6 +73,9 @@
     recording: OnceCell<Control>,
 }
 
+/// No wait is longer than this, in seconds.
+const MOST_WAIT_S: f64 = 1e9;
+
 /// Where a query's verdict goes, and the timer of its deadline.
 type Waiting = (Sender<Verdict>, Task<()>);
 
@@ -118,7 +121,7 @@
 
     /// A point of the clock as an instant, for timers.
     pub fn instant(&self, at: Millis) -> Instant {
-        self.origin.1 + Duration::from_secs_f64(((at - self.origin.0) / 1000.0).clamp(0.0, 1e9))
+        self.origin.1 + Duration::from_secs_f64(((at - self.origin.0) / 1000.0).clamp(0.0, MOST_WAIT_S))
     }
 
     /// Changes what is counted.
@@ -268,13 +271,8 @@
     /// The process ends after so long: no query, held or still to come, is waited for any longer.
     pub fn end_by(self: &Rc<Self>, left: Duration) {
         let at = Instant::now() + left;
-        self.core.borrow_mut().end_by(self.now() + left.as_secs_f64() * 1000.0);
-        let driver = self.clone();
-        let ends = async move {
-            Timer::at(at).await;
-            driver.wake();
-        };
-        self.executor.spawn(ends).detach();
+        self.core.borrow_mut().end_by(self.now() + millis(left));
+        self.wake_at(at).detach();
     }
 
     /// How long it has been there.
@@ -287,6 +285,31 @@
         self.core.borrow().is_keyed(class)
     }
 
+    /// How long the client of a query waits, if there is such a class.
+    pub fn wait_of(&self, class: &str, stated: Option<Millis>) -> Option<Duration> {
+        let wait = self.core.borrow().wait_of(class, stated)?;
+        Some(Duration::from_secs_f64((wait / 1000.0).clamp(0.0, MOST_WAIT_S)))
+    }
+
+    /// A query is to end by some time, if that is sooner than its own.
+    fn end_query_by(self: &Rc<Self>, no: QueryNo, at: Instant) {
+        let left = at.saturating_duration_since(Instant::now());
+        self.core.borrow_mut().end_query_by(no, self.now() + millis(left));
+        let timer = self.wake_at(at);
+        if let Some((_, last)) = self.waiting.borrow_mut().get_mut(&no) {
+            *last = timer;
+        }
+    }
+
+    /// A step at some time, unless the task is dropped before.
+    fn wake_at(self: &Rc<Self>, at: Instant) -> Task<()> {
+        let driver = self.clone();
+        self.executor.spawn(async move {
+            Timer::at(at).await;
+            driver.wake();
+        })
+    }
+
     /// How many shards there are, if that is known.
     pub fn shards(&self) -> Option<u32> {
         self.core.borrow().shards()
@@ -303,18 +326,11 @@
     /// Says why it was not taken.
     pub fn ask(self: &Rc<Self>, ask: Ask) -> Result<Pending, NotTaken> {
         let now = self.now();
-        let timeout = ask.timeout;
+        let wait = self.core.borrow().wait_of(&ask.class, ask.timeout).unwrap_or(0.0) - ask.waited;
         let no = self.core.borrow_mut().take_in(now, ask)?;
         let (sender, verdict) = async_channel::bounded(1);
-        let driver = self.clone();
         // The query's own timer: the step after it fails whatever is still held.
-        let deadline = timeout.map(|timeout| self.instant(now + timeout));
-        let timer = self.executor.spawn(async move {
-            if let Some(deadline) = deadline {
-                Timer::at(deadline).await;
-                driver.wake();
-            }
-        });
+        let timer = self.wake_at(self.instant(now + wait));
         self.waiting.borrow_mut().insert(no, (sender, timer));
         self.carry_out();
         Ok(Pending { driver: self.clone(), no, verdict })
@@ -442,9 +458,14 @@
     }
 }
 
+/// A span in milliseconds.
+pub fn millis(span: Duration) -> Millis {
+    span.as_secs_f64() * 1000.0
+}
+
 /// The time since an origin of the clock, in Unix milliseconds.
 fn since(origin: (Millis, Instant)) -> Millis {
-    origin.0 + origin.1.elapsed().as_secs_f64() * 1000.0
+    origin.0 + millis(origin.1.elapsed())
 }
 
 impl Pending {
@@ -454,6 +475,19 @@
     }
 }
 
+impl Pending {
+    /// The same, by an earlier time if one is told meanwhile.
+    pub async fn verdict_before(&self, sooner: Receiver<Instant>) -> Verdict {
+        let end_sooner = async {
+            while let Ok(at) = sooner.recv().await {
+                self.driver.end_query_by(self.no, at);
+            }
+            future::pending().await
+        };
+        future::or(self.verdict(), end_sooner).await
+    }
+}
+
 impl Drop for Pending {
     /// A client that left before its answer: the core hears of it, and its parts are called back.
     fn drop(&mut self) {
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -161,6 +161,15 @@
         self.deadlines = Deadlines(deadlines.collect());
     }
 
+    /// A query's deadline is no later than this from now on.
+    pub(super) fn end_query_by(&mut self, no: QueryNo, at: Millis) {
+        if let Some(query) = self.queries.get_mut(&no).filter(|query| at < query.deadline) {
+            self.deadlines.remove(no, query.deadline);
+            query.deadline = at;
+            self.deadlines.insert(no, at);
+        }
+    }
+
     /// The answers that are in, and their weight.
     pub(super) fn pieces(&self, query: &Query) -> (Vec<Piece>, f64) {
         let mut weight = 0.0;
--- a/src/core/ledger/tests.rs
+++ b/src/core/ledger/tests.rs
@@ -69,6 +69,7 @@
         class: "search".into(),
         tenant: None,
         timeout: Some(timeout),
+        waited: 0.0,
         retried: false,
         partial,
         key: None,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -48,6 +48,8 @@
     pub tenant: Option<String>,
     /// How long the client waits; `None` for the class's give-up time.
     pub timeout: Option<Millis>,
+    /// How much of that is over, as it waited for its turn.
+    pub waited: Millis,
     /// Whether the client marked it as a repeat.
     pub retried: bool,
     /// Whether an answer that is not whole is welcome.
@@ -366,6 +368,17 @@
         self.ledger.end_by(at);
     }
 
+    /// How long the client of a query waits: as it states, and no longer than its class is given up for.
+    pub fn wait_of(&self, class: &str, stated: Option<Millis>) -> Option<Millis> {
+        let most = self.classes.at(self.classes.named(class)?).deadline;
+        Some(stated.unwrap_or(most).min(most))
+    }
+
+    /// A query is to end by some time, if that is sooner than its own.
+    pub fn end_query_by(&mut self, no: QueryNo, at: Millis) {
+        self.ledger.end_query_by(no, at);
+    }
+
     /// Whether queries of a class carry a key, without which no part of theirs may reach a run store.
     pub fn is_keyed(&self, class: &str) -> bool {
         let at = self.classes.named(class);
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -25,8 +25,9 @@
             return Err(NotTaken::Malformed(format!("there is no shard {}", part.shard)));
         }
         let most = self.classes.at(class).deadline;
-        // No client waits longer than its class's give-up time; a longer wish would only hold memory.
-        let deadline = (now + ask.timeout.unwrap_or(most).min(most)).min(self.ends);
+        // No client waits longer than its class's give-up time; a longer wish would only hold memory. Its time counts
+        // from its last byte, however long it waited for its turn.
+        let deadline = (now - ask.waited + ask.timeout.unwrap_or(most).min(most)).min(self.ends);
         let no = QueryNo(self.ledger.number());
         self.counters.taken += 1;
         self.admit(now, no, class, deadline, ask);
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -9,15 +9,17 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use async_channel::Receiver;
 use serde_json::json;
 
-use crate::core::drive::Driver;
+use crate::core::drive::{millis, Driver};
 use crate::core::{Ask, AskPart, NotTaken, Verdict};
 use crate::http::door::Door;
+use crate::http::inbox::Arrived;
 use crate::http::parse::{Bad, Message};
-use crate::http::server::{Handler, Local};
+use crate::http::server::{Handler, Local, Refused};
 use crate::http::write::Response;
 use crate::log;
 use crate::transport::opensearch::carry;
@@ -25,8 +27,8 @@
 
 /// The longest opaque id or tenant that is taken in.
 const MOST_NAME: usize = 128;
-/// Advice to a connection too many.
-const FULL_WAIT: f64 = 500.0;
+/// Advice to what is not taken up at all.
+const REFUSED_WAIT: f64 = 500.0;
 
 /// The front.
 pub struct OpenSearch {
@@ -45,12 +47,13 @@
         self.driver.shards().unwrap_or(1)
     }
 
-    fn refuse(&self, index: &str, Refusal(status, kind, why): Refusal) -> Response {
+    fn reject(&self, index: &str, Refusal(status, kind, why): Refusal) -> Response {
         self.driver.not_taken(index);
         error(status, kind, &why)
     }
 
-    fn ask(&self, search: &Search, request: &Message) -> Result<Ask, Refusal> {
+    fn ask(&self, search: &Search, arrived: &Arrived) -> Result<Ask, Refusal> {
+        let request = &arrived.message;
         let shards = search.shards.clone().unwrap_or_else(|| (0..self.shards()).collect());
         let weight = 1.0 / shards.len().max(1) as f64;
         self.last.set(self.last.get() + 1);
@@ -73,6 +76,7 @@
             class: search.index.clone(),
             tenant: tenant.map(str::to_string),
             timeout: search.timeout,
+            waited: millis(arrived.waited()),
             retried: false,
             partial: search.partial,
             key,
@@ -83,21 +87,22 @@
 }
 
 impl Handler for OpenSearch {
-    fn handle(&self, request: Message) -> Local<Response> {
+    fn handle(&self, arrived: Arrived, sooner: Receiver<Instant>) -> Local<Response> {
+        let request = &arrived.message;
         let opaque = request.headers.get("x-opaque-id").map(str::to_string);
         let response = match (request.start.0.as_str(), request.start.1.as_str()) {
             ("GET", "/healthz") => crate::front::health(&self.door, &self.driver),
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
             ("GET" | "POST", path) => {
                 let index = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
-                let read = Search::read(&request, self.shards());
-                let asked = read.and_then(|search| self.ask(&search, &request).map(|ask| (search, ask)));
+                let read = Search::read(request, self.shards());
+                let asked = read.and_then(|search| self.ask(&search, &arrived).map(|ask| (search, ask)));
                 match asked.map(|(search, ask)| (search, self.driver.ask(ask))) {
                     Ok((search, Ok(pending))) => {
-                        let since = Instant::now();
+                        let since = arrived.at;
                         let shards = search.shards.clone().unwrap_or_else(|| (0..self.shards()).collect());
                         return Box::pin(async move {
-                            let verdict = pending.verdict().await;
+                            let verdict = pending.verdict_before(sooner).await;
                             log::verdict(opaque.as_deref().unwrap_or("-"), &verdict);
                             let took = since.elapsed().as_millis() as u64;
                             echo(render(&verdict, &search, &shards, took), opaque)
@@ -105,28 +110,33 @@
                     }
                     Ok((search, Err(NotTaken::UnknownClass))) => {
                         let why = format!("no such index [{}]", search.index);
-                        self.refuse(index, Refusal(404, "index_not_found_exception", why))
+                        self.reject(index, Refusal(404, "index_not_found_exception", why))
                     }
                     Ok((_, Err(NotTaken::Malformed(why)))) => {
-                        self.refuse(index, Refusal(400, "illegal_argument_exception", why))
+                        self.reject(index, Refusal(400, "illegal_argument_exception", why))
                     }
-                    Err(refusal) => self.refuse(index, refusal),
+                    Err(refusal) => self.reject(index, refusal),
                 }
             }
             (method, _) => {
                 let why = format!("method [{method}] is not allowed; spoken are GET and POST");
-                self.refuse("", Refusal(405, "illegal_argument_exception", why)).with("Allow", "GET, POST")
+                self.reject("", Refusal(405, "illegal_argument_exception", why)).with("Allow", "GET, POST")
             }
         };
         Box::pin(async move { echo(response, opaque) })
     }
 
     fn bad(&self, bad: Bad) -> Response {
-        self.refuse("", Refusal(bad.status(), "parsing_exception", bad.to_string()))
+        self.reject("", Refusal(bad.status(), "parsing_exception", bad.to_string()))
     }
 
-    fn full(&self) -> Response {
-        back_off(error(503, "rejected_execution_exception", "too many connections"), FULL_WAIT)
+    fn waits(&self, request: &Message) -> Option<Duration> {
+        let search = Search::read(request, self.shards()).ok()?;
+        self.driver.wait_of(&search.index, search.timeout)
+    }
+
+    fn refuse(&self, why: Refused) -> Response {
+        back_off(error(503, "rejected_execution_exception", why.text()), REFUSED_WAIT)
     }
 }
 
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -3,21 +3,24 @@
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
+use async_channel::Receiver;
 use serde::{Deserialize, Serialize};
 
-use crate::core::drive::{Driver, Pending};
+use crate::core::drive::{millis, Driver, Pending};
 use crate::core::{Ask, AskPart, NotTaken, Verdict};
 use crate::http::door::Door;
+use crate::http::inbox::Arrived;
 use crate::http::parse::{Bad, Message};
-use crate::http::server::{Handler, Local};
+use crate::http::server::{Handler, Local, Refused};
 use crate::http::write::Response;
 use crate::log;
 
 /// The longest id, class or tenant that is taken in.
 const MOST_NAME: usize = 128;
-/// Advice to a connection too many.
-const FULL_WAIT: f64 = 500.0;
+/// Advice to what is not taken up at all.
+const REFUSED_WAIT: f64 = 500.0;
 
 #[derive(Deserialize)]
 struct Body {
@@ -74,37 +77,38 @@
         Platform { driver, door, held: Rc::default() }
     }
 
-    fn query(&self, request: &Message, path: &str) -> Result<(Held, Pending), Response> {
+    fn query(&self, request: &Arrived, path: &str) -> Result<(Held, Pending), Response> {
         let class = class_of(path);
         let ask =
-            read(request, class, self.driver.is_keyed(class)).map_err(|why| self.refuse(class, 400, &why))?;
+            read(request, class, self.driver.is_keyed(class)).map_err(|why| self.reject(class, 400, &why))?;
         if !self.held.borrow_mut().insert(ask.id.clone()) {
-            return Err(self.refuse(class, 409, "a query of this X-Request-ID is being answered"));
+            return Err(self.reject(class, 409, "a query of this X-Request-ID is being answered"));
         }
         let held = Held { id: ask.id.clone(), all: self.held.clone() };
         match self.driver.ask(ask) {
             Ok(pending) => Ok((held, pending)),
-            Err(NotTaken::UnknownClass) => Err(self.refuse(class, 404, "no such class")),
-            Err(NotTaken::Malformed(why)) => Err(self.refuse(class, 400, &why)),
+            Err(NotTaken::UnknownClass) => Err(self.reject(class, 404, "no such class")),
+            Err(NotTaken::Malformed(why)) => Err(self.reject(class, 400, &why)),
         }
     }
 
-    fn refuse(&self, class: &str, status: u16, why: &str) -> Response {
+    fn reject(&self, class: &str, status: u16, why: &str) -> Response {
         self.driver.not_taken(class);
         Response::text(status, why)
     }
 }
 
 impl Handler for Platform {
-    fn handle(&self, request: Message) -> Local<Response> {
-        let path = request.start.1.split('?').next().unwrap_or("");
-        let response = match (request.start.0.as_str(), path) {
+    fn handle(&self, request: Arrived, sooner: Receiver<Instant>) -> Local<Response> {
+        let start = &request.message.start;
+        let path = path_of(&request.message);
+        let response = match (start.0.as_str(), path) {
             ("GET", "/healthz") => super::health(&self.door, &self.driver),
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
             ("POST", _) => match self.query(&request, path) {
                 Ok((held, pending)) => {
                     return Box::pin(async move {
-                        let verdict = pending.verdict().await;
+                        let verdict = pending.verdict_before(sooner).await;
                         log::verdict(&held.id, &verdict);
                         let response = render(&verdict);
                         drop(held);
@@ -113,18 +117,28 @@
                 }
                 Err(response) => response,
             },
-            _ => self.refuse("", 405, "queries are POST requests").with("Allow", "POST"),
+            _ => self.reject("", 405, "queries are POST requests").with("Allow", "POST"),
         };
         Box::pin(async move { response })
     }
 
     fn bad(&self, bad: Bad) -> Response {
-        self.refuse("", bad.status(), &bad.to_string())
+        self.reject("", bad.status(), &bad.to_string())
     }
 
-    fn full(&self) -> Response {
-        Response::text(503, "too many connections").retry_after(FULL_WAIT)
+    fn waits(&self, request: &Message) -> Option<Duration> {
+        let stated = request.headers.get("x-timeout").and_then(|text| timeout(text).ok());
+        self.driver.wait_of(class_of(path_of(request)), stated)
     }
+
+    fn refuse(&self, why: Refused) -> Response {
+        Response::text(503, why.text()).retry_after(REFUSED_WAIT)
+    }
+}
+
+/// The path of a request's target.
+fn path_of(request: &Message) -> &str {
+    request.start.1.split('?').next().unwrap_or("")
 }
 
 /// The class, which is the first part of a path.
@@ -132,7 +146,8 @@
     path.trim_start_matches('/').split('/').next().unwrap_or("")
 }
 
-fn read(request: &Message, in_path: &str, keyed: bool) -> Result<Ask, String> {
+fn read(arrived: &Arrived, in_path: &str, keyed: bool) -> Result<Ask, String> {
+    let request = &arrived.message;
     let header = |name: &str| request.headers.get(name);
     let class = header("x-priority-class").unwrap_or(in_path);
     if class != in_path {
@@ -164,6 +179,7 @@
         class: class.to_string(),
         tenant: tenant.map(str::to_string),
         timeout,
+        waited: millis(arrived.waited()),
         retried: header("x-retried") == Some("1"),
         partial: true,
         key: keyed.then(|| super::key(&request.headers)).transpose()?.map(Into::into),
--- a/src/http/parse.rs
+++ b/src/http/parse.rs
@@ -112,6 +112,15 @@
     pub keep_alive: bool,
 }
 
+impl Message {
+    /// The bytes of its text, without what separates them.
+    pub fn size(&self) -> usize {
+        let start = self.start.0.len() + self.start.1.len() + self.start.2.len();
+        let headers: usize = self.headers.0.iter().map(|(name, value)| name.len() + value.len()).sum();
+        start + headers + self.body.len()
+    }
+}
+
 /// Which side's messages are read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,11 +1,11 @@
-//! The server's side of connections: accepting within the descriptor limit, one request at a time on
-//! each, a timer for each wait, and one log line when it ends.
+//! A listening server: connections are accepted within the limit on descriptors, and idle ones make room for others.
+//! What happens on each is in [`super::connection`].
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,10 +14,12 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::future;
 
+use super::connection::Connection;
 use super::door::Door;
-use super::parse::{Bad, Kind, Message, Parser, MOST_BODY};
+use super::inbox::Arrived;
+use super::parse::{Bad, Message};
 use super::write::Response;
 use crate::log::{self, Reason};
 
@@ -26,12 +28,33 @@
 
 /// What answers requests. Its future is dropped if the client leaves.
 pub trait Handler {
-    /// Answers a request.
-    fn handle(&self, request: Message) -> Local<Response>;
+    /// Answers a request, by an earlier time if one is told meanwhile: then a request behind it is due.
+    fn handle(&self, request: Arrived, sooner: Receiver<Instant>) -> Local<Response>;
+    /// How long the client of a request waits from its last byte on, if that is known.
+    fn waits(&self, request: &Message) -> Option<Duration>;
     /// The answer to what cannot be read.
     fn bad(&self, bad: Bad) -> Response;
-    /// The answer to a connection too many.
-    fn full(&self) -> Response;
+    /// The answer to what is not taken up at all, for some reason: trying again is harmless.
+    fn refuse(&self, why: Refused) -> Response;
+}
+
+/// Why a request is not taken up at all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// Its connection is one too many.
+    Full,
+    /// It came behind one that was to be the last on its connection.
+    AfterLast,
+}
+
+impl Refused {
+    /// The reason in words.
+    pub fn text(self) -> &'static str {
+        match self {
+            Refused::Full => "too many connections",
+            Refused::AfterLast => "the request before was to be the last on this connection",
+        }
+    }
 }
 
 /// How long things may take, and how many there may be.
@@ -61,11 +84,6 @@
 /// Once the door is shut, the front still sends new connections for a while, and clients use those they have:
 /// one that has stood idle for so long is not about to be used.
 pub const KEEP_IDLE: Duration = Duration::from_millis(500);
-/// After a last answer, the time in which what the client still sends is read away, so that a reset does
-/// not overtake the answer.
-const LINGER: Duration = Duration::from_millis(500);
-/// The most that is read away then: a client with 60 MB to send would keep the one thread busy.
-const MOST_LINGER: usize = 256 * 1024;
 /// The time in which the first byte of a client that means to ask has come.
 const FIRST_BYTE: Duration = Duration::from_millis(500);
 /// Connections kept without a request may take one in so many of the room.
@@ -80,13 +98,15 @@
     /// Whose connections these are, for the log.
     kind: &'static str,
     executor: Rc<LocalExecutor<'static>>,
-    handler: Box<dyn Handler>,
-    limits: Limits,
+    pub(super) handler: Box<dyn Handler>,
+    pub(super) limits: Limits,
     /// Connections that are served at once, which may be fewer for a while than the limits say.
     room: Cell<usize>,
     open: Cell<usize>,
     last: Cell<u64>,
-    door: Rc<Door>,
+    /// Whether nothing more is read, as the process is about to end.
+    ending: Cell<bool>,
+    pub(super) door: Rc<Door>,
     /// Connections that stand idle, those that never asked first and then longest first.
     idle: RefCell<BTreeMap<(bool, u64), Idle>>,
     /// Signalled when a connection has ended.
@@ -110,6 +130,7 @@
             room: Cell::new(limits.connections),
             open: Cell::new(0),
             last: Cell::new(0),
+            ending: Cell::new(false),
             door,
             idle: RefCell::default(),
             ended: async_channel::bounded(1),
@@ -121,6 +142,16 @@
         self.open.get()
     }
 
+    /// Nothing more is read behind the requests that are in hand: the process ends once these are answered.
+    pub fn stop_reading(&self) {
+        self.ending.set(true);
+    }
+
+    /// Whether nothing more is read.
+    pub(super) fn is_ending(&self) -> bool {
+        self.ending.get()
+    }
+
     /// The one drain, by hand or before the end: whenever the door is shut, connections that stand idle get a
     /// moment in which they are still used, and are closed. Those that come later have the same moment each.
     pub async fn drain(self: Rc<Self>) {
@@ -231,12 +262,12 @@
         self.open.set(self.open.get() + 1);
         let server = self.clone();
         let task = async move {
-            let mut connection = Connection { server: &server, stream, requests: 0, since: Instant::now() };
+            let mut connection = Connection::new(&server, stream);
             let reason = match refused {
                 true => connection.refuse().await,
                 false => connection.serve().await.unwrap_or(Reason::Reset),
             };
-            let (requests, lasted) = (connection.requests, connection.since.elapsed().as_millis());
+            let (requests, lasted) = (connection.requests(), connection.age().as_millis());
             drop(connection);
             server.open.set(server.open.get() - 1);
             let _ = server.ended.0.try_send(());
@@ -249,179 +280,43 @@
 /// Since when a connection stands idle, and how to close it.
 type Idle = (Instant, Sender<Reason>);
 
-struct Connection<'s> {
+/// A connection's place among those that stand idle, until this is dropped.
+pub(super) struct IdlePlace<'s> {
     server: &'s Server,
-    stream: TcpStream,
-    requests: u64,
-    /// When it was accepted.
-    since: Instant,
-}
-
-/// What a wait for a request brought.
-enum Next {
-    Request(Message),
-    Bad(Bad),
-    End(Reason),
+    key: (bool, u64),
+    closed: Receiver<Reason>,
 }
 
-impl Connection<'_> {
-    async fn serve(&mut self) -> io::Result<Reason> {
-        let mut parser = Parser::new(Kind::Request);
-        loop {
-            let request = match self.next(&mut parser).await? {
-                Next::Request(request) => request,
-                Next::End(reason) => return Ok(reason),
-                Next::Bad(bad) => return self.turn_down(bad).await,
-            };
-            self.requests += 1;
-            let (keep_alive, body) = (request.keep_alive, request.start.0 != "HEAD");
-            let answer = self.server.handler.handle(request);
-            let left = watch(&mut self.stream, &mut parser);
-            let answer = future::or(async { Ok(answer.await) }, async { Err(left.await) }).await;
-            let response = match answer {
-                Ok(response) => response,
-                Err(Left::Gone) => return Ok(Reason::ClientGone),
-                Err(Left::Flooding) => return self.turn_down(Bad::Flood).await,
-            };
-            let open = self.server.door.is_open();
-            let keep_alive = keep_alive && open && self.server.limits.keep;
-            if !self.write(&response.bytes(keep_alive, body)).await? {
-                return Ok(Reason::TooSlow);
-            }
-            if !keep_alive {
-                self.linger().await;
-                return Ok(if open { Reason::Done } else { Reason::Shutdown });
-            }
-            // Requests that are answered at once may come in any number: others have their turn between them.
-            future::yield_now().await;
-        }
-    }
-
-    /// Answers what cannot be read, and ends the connection, as framing is lost.
-    async fn turn_down(&mut self, bad: Bad) -> io::Result<Reason> {
-        let response = self.server.handler.bad(bad);
-        self.write(&response.bytes(false, true)).await?;
-        self.linger().await;
-        Ok(if bad == Bad::TooSlow { Reason::TooSlow } else { Reason::Malformed })
-    }
-
-    async fn refuse(&mut self) -> Reason {
-        let response = self.server.handler.full();
-        let _ = self.write(&response.bytes(false, true)).await;
-        self.linger().await;
-        Reason::Full
-    }
-
-    async fn next(&mut self, parser: &mut Parser) -> io::Result<Next> {
-        let mut begun: Option<Instant> = None;
-        let mut continued = false;
-        let mut bytes = [0; 8192];
-        loop {
-            match parser.next_message() {
-                Ok(Some(request)) => return Ok(Next::Request(request)),
-                Ok(None) => {}
-                Err(bad) => return Ok(Next::Bad(bad)),
-            }
-            if parser.expects_continue() && !continued {
-                continued = true;
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
-            }
-            let read = if parser.is_inside() {
-                let first = self.requests == 0;
-                let begun = *begun.get_or_insert_with(|| if first { self.since } else { Instant::now() });
-                let limit = begun + self.server.limits.request;
-                let read = async { self.stream.read(&mut bytes).await.map(Ok) };
-                future::or(read, async {
-                    Timer::at(limit).await;
-                    Ok(Err(Reason::TooSlow))
-                })
-                .await?
-            } else {
-                self.read_idle(&mut bytes).await?
-            };
-            match read {
-                Err(Reason::TooSlow) => return Ok(Next::Bad(Bad::TooSlow)),
-                Ok(0) if parser.is_inside() => return Ok(Next::End(Reason::Malformed)),
-                Ok(0) => return Ok(Next::End(Reason::PeerClosed)),
-                Ok(count) => parser.push(&bytes[..count]),
-                Err(reason) => return Ok(Next::End(reason)),
-            }
-        }
-    }
-
-    /// Reads while the connection stands idle, when it may be closed at any time.
-    async fn read_idle(&mut self, bytes: &mut [u8]) -> io::Result<Result<usize, Reason>> {
-        let (close, closed): (Sender<Reason>, Receiver<Reason>) = async_channel::bounded(1);
-        self.server.last.set(self.server.last.get() + 1);
-        let asked = self.requests > 0;
-        let key = (asked, self.server.last.get());
-        self.server.idle.borrow_mut().insert(key, (Instant::now(), close));
-        self.server.close_kept();
-        let limit = match asked {
-            _ if !self.server.door.is_open() => KEEP_IDLE,
-            true => self.server.limits.idle,
-            false => self.server.limits.request,
-        };
-        let read = async { self.stream.read(bytes).await.map(Ok) };
-        let idle = async {
-            Timer::after(limit).await;
-            Ok(Err(Reason::Idle))
-        };
-        let closed = async { Ok(Err(closed.recv().await.unwrap_or(Reason::Shutdown))) };
-        let read = future::or(read, future::or(idle, closed)).await;
-        self.server.idle.borrow_mut().remove(&key);
-        read
+impl IdlePlace<'_> {
+    /// Waits until the server closes the connection.
+    pub(super) async fn closed(&self) -> Reason {
+        self.closed.recv().await.unwrap_or(Reason::Shutdown)
     }
+}
 
-    /// Writes all; `false` if the client reads too slowly.
-    async fn write(&mut self, bytes: &[u8]) -> io::Result<bool> {
-        let limit = self.server.limits.write;
-        let write = async { self.stream.write_all(bytes).await.map(|()| true) };
-        future::or(write, async {
-            Timer::after(limit).await;
-            Ok(false)
-        })
-        .await
-    }
-
-    async fn linger(&mut self) {
-        let _ = self.stream.shutdown(Shutdown::Write);
-        let mut bytes = [0; 4096];
-        let drain = async {
-            let mut left = MOST_LINGER;
-            while let Ok(count) = self.stream.read(&mut bytes).await {
-                left = left.saturating_sub(count);
-                if count == 0 || left == 0 {
-                    break;
-                }
-                future::yield_now().await;
-            }
-        };
-        future::or(drain, async {
-            Timer::after(LINGER).await;
-        })
-        .await;
+impl Drop for IdlePlace<'_> {
+    fn drop(&mut self) {
+        self.server.idle.borrow_mut().remove(&self.key);
     }
 }
 
-/// How a client leaves that waits for an answer.
-enum Left {
-    Gone,
-    /// It sends more than any request holds, so that its end could not be seen behind that.
-    Flooding,
-}
+impl Server {
+    /// A connection stands idle from now on, and may be closed at any time.
+    pub(super) fn stand_idle(&self, asked: bool) -> IdlePlace<'_> {
+        let (close, closed) = async_channel::bounded(1);
+        self.last.set(self.last.get() + 1);
+        let key = (asked, self.last.get());
+        self.idle.borrow_mut().insert(key, (Instant::now(), close));
+        self.close_kept();
+        IdlePlace { server: self, key, closed }
+    }
 
-/// Ends when the client leaves. What it sends meanwhile waits in the parser, up to a whole request.
-///
-/// A client that ends its own side alone has left as well: the protocol has no use for half a connection, and one
-/// that is gone looks the same until something is written to it.
-async fn watch(stream: &mut TcpStream, parser: &mut Parser) -> Left {
-    let mut bytes = [0; 4096];
-    while parser.buffered() <= MOST_BODY {
-        match stream.read(&mut bytes).await {
-            Ok(0) | Err(_) => return Left::Gone,
-            Ok(count) => parser.push(&bytes[..count]),
+    /// How long a connection may stand idle.
+    pub(super) fn idle_limit(&self, asked: bool) -> Duration {
+        match asked {
+            _ if !self.door.is_open() => KEEP_IDLE,
+            true => self.limits.idle,
+            false => self.limits.request,
         }
     }
-    Left::Flooding
 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,8 +1,9 @@
 //! Operators' calls, on an address of their own: what clients do there delays none of them.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_net::TcpListener;
 
@@ -11,8 +12,9 @@
 use crate::counters;
 use crate::handover::{Wire, Word};
 use crate::http::door::Door;
+use crate::http::inbox::Arrived;
 use crate::http::parse::{Bad, Message};
-use crate::http::server::{Handler, Limits, Local, Server};
+use crate::http::server::{Handler, Limits, Local, Refused, Server};
 use crate::http::target::Target;
 use crate::http::write::Response;
 use crate::log;
@@ -116,7 +118,8 @@
 }
 
 impl Handler for Operator {
-    fn handle(&self, request: Message) -> Local<Response> {
+    fn handle(&self, request: Arrived, _: Receiver<Instant>) -> Local<Response> {
+        let request = request.message;
         let (method, target) = (&request.start.0, &request.start.1);
         if method == "PUT" {
             self.driver.note_call(target);
@@ -129,7 +132,12 @@
         Response::text(bad.status(), &bad.to_string())
     }
 
-    fn full(&self) -> Response {
-        Response::text(503, "too many calls at once")
+    /// All calls are answered at once.
+    fn waits(&self, _: &Message) -> Option<Duration> {
+        None
+    }
+
+    fn refuse(&self, why: Refused) -> Response {
+        Response::text(503, why.text())
     }
 }
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -78,6 +78,12 @@
     let end = Instant::now() + left;
     // Whatever is taken, now or later, is answered before.
     program.driver.end_by(left - LAST_WRITE);
+    let server = program.server.clone();
+    let stop_reading = async move {
+        Timer::at(end - LAST_WRITE).await;
+        server.stop_reading();
+    };
+    executor.spawn(stop_reading).detach();
     let drained = async {
         Timer::after(KEEP_IDLE + KEEP_ACCEPTING).await;
         program.close().await;
--- a/tests/common/core.rs
+++ b/tests/common/core.rs
@@ -12,6 +12,7 @@
         class: class.into(),
         tenant: None,
         timeout: Some(timeout),
+        waited: 0.0,
         retried: false,
         partial: true,
         key: None,
