Show that a short request behind a long one is late, and that an end reads what it does not answer

Cause: answers go in the order of requests, and the one ahead has all of its own time; and linger reads up to 256 KiB behind the last answer, whole requests among it, which are then read and closed with no answer.

--- a/tests/sockets/endings.rs
+++ b/tests/sockets/endings.rs
@@ -1,6 +1,6 @@
 //! Ends of clients' connections with requests in hand: what has been read gets its answer, in its time.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -85,3 +85,42 @@
         assert!(told[1] <= left + SLACK_MS, "{wire:?}: told {} with {left} left", told[1]);
     }
 }
+
+/// "From its last byte, a request's time counts", and an answer later than half a second after that time is lost, also
+/// if an earlier request on the connection has longer.
+#[test]
+fn a_short_request_behind_a_long_one_has_its_answer_in_time() {
+    const LATEST: Duration = Duration::from_millis(800 + 500);
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Silent);
+        let mut client = aggregator.connect();
+        let requests =
+            aggregator.query("", "run-lookup", &[0], 9000) + &aggregator.query("", "run-lookup", &[1], 800);
+        let written = Instant::now();
+        client.write_all(requests.as_bytes()).unwrap();
+        let first = answer(&mut client);
+        let second = answer(&mut client);
+        assert!(written.elapsed() < LATEST, "{wire:?}: {:?}, {first:?}, {second:?}", written.elapsed());
+    }
+}
+
+/// "A request that is read after the shutdown" has no answer, and one that is read and not answered is lost: what comes
+/// after the last answer stays unread, and the client can tell by the reset.
+#[test]
+fn what_comes_after_the_last_answer_stays_unread() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        let mut client = aggregator.begin_with("Connection: close\r\n", "run-lookup", &[0], 9000);
+        assert!(answer(&mut client).whole(), "{wire:?}");
+        assert_eq!(client.read(&mut [0]).unwrap(), 0, "{wire:?}: its side is shut");
+        client.write_all(aggregator.query("", "run-lookup", &[1], 9000).as_bytes()).unwrap();
+        aggregator.logged("end client");
+        let reset = (0..100).any(|_| {
+            std::thread::sleep(Duration::from_millis(10));
+            client.take_error().unwrap().is_some()
+        });
+        assert!(reset, "{wire:?}: it was read, and its client cannot tell");
+        assert_eq!(aggregator.board.read(|state| state.parts.len()), 1, "{wire:?}");
+    }
+}
