Answer a request by the time of one behind it, and leave unread what comes after the last answer

Cause: answers go out in the order of requests, and nothing told the one ahead that a later one is due (watch in http/connection.rs); linger read what came after the last answer. Ruled out: serving the requests of a connection side by side, as one bad client could then hold all of max_open.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -260,7 +260,7 @@
         let _ = self.stream.shutdown(Shutdown::Write);
         let ended = async {
             match rest {
-                Rest::Unread => self.read_away().await,
+                Rest::Unread => {}
                 Rest::OneRequest => self.read_one_away().await,
                 Rest::Unreadable => self.read_away().await,
             }
@@ -320,10 +320,16 @@
     handler: &dyn Handler,
     stream: &mut TcpStream,
     inbox: &mut Inbox,
-    _sooner: Sender<Instant>,
+    sooner: Sender<Instant>,
 ) -> Left {
     let mut bytes = [0; CHUNK];
+    let mut told = None;
     while !inbox.is_full() {
+        let due = inbox.earliest_due();
+        if let Some(at) = due.filter(|_| due != told) {
+            told = due;
+            let _ = sooner.try_send(at);
+        }
         match stream.read(&mut bytes).await {
             Ok(0) | Err(_) => return Left::Gone,
             Ok(count) => inbox.push(&bytes[..count], Instant::now(), |request| handler.waits(request)),
