Show calls that fail for a moment, accepts that come to nothing and a wrong wall clock doing harm

Cause: AsyncReadExt::read and write_all hand EINTR, ENOMEM and ENOBUFS to the connection, which ends (http/connection.rs, http/client.rs, transport/frames); Server::take closes the longest idle connection after any error of accept; Core::take_news hands since_ms to the router, whose clock begins at the wall clock of the process's start (cold_room in decide.rs). Ruled out: EAGAIN and short counts, which the library handles; a clock behind by an hour, with which the cold run store got no more than it bears.

--- /dev/null
+++ b/crates/faults/tests/plan.rs
@@ -0,0 +1,28 @@
+//! Plans: what is read, and how often calls fail.
+
+use ironpaddle_faults::plan::{Fault, Plan};
+
+#[test]
+fn a_plan_fails_its_share_of_calls_and_the_same_ones_again() {
+    let struck = || {
+        let plan = Plan::read("seed=7 recv=EINTR@30 wall_ms=-5000").unwrap();
+        assert_eq!((plan.send, plan.wall_ms), (None, -5000));
+        (0..1000).map(|_| plan.strikes(plan.recv)).collect::<Vec<_>>()
+    };
+    let first = struck();
+    assert!((250..350).contains(&first.iter().flatten().count()));
+    assert!(first.iter().flatten().all(|error| *error == libc_eintr()));
+    assert_eq!(first, struck());
+}
+
+fn libc_eintr() -> i32 {
+    4
+}
+
+#[test]
+fn what_is_not_understood_is_no_plan() {
+    for text in ["recv", "recv=EWHAT@3", "recv=EINTR", "recv=EINTR@101", "sleep=EINTR@3", "wall_ms=x"] {
+        assert!(Plan::read(text).is_none(), "{text}");
+    }
+    assert_eq!(Plan::read("accept=EMFILE@1").unwrap().accept, Some(Fault { error: 24, percent: 1 }));
+}
--- a/tests/sockets/aggregator.rs
+++ b/tests/sockets/aggregator.rs
@@ -31,34 +31,48 @@
 }
 
 /// A folder of its own for each aggregator: processes of one find each other there.
-struct Folder(PathBuf);
+struct Folder {
+    path: PathBuf,
+    /// What fails for its processes, as the library of `crates/faults` reads it.
+    faults: Option<String>,
+}
 
 impl Folder {
-    fn new() -> Arc<Self> {
+    fn new(faults: Option<String>) -> Arc<Self> {
         static MADE: AtomicUsize = AtomicUsize::new(0);
         let number = MADE.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("ironpaddle-{}-{number}", std::process::id()));
         std::fs::create_dir(&path).unwrap();
-        Arc::new(Folder(path))
+        Arc::new(Folder { path, faults })
     }
 
     fn config(&self) -> PathBuf {
-        self.0.join("config.json")
+        self.path.join("config.json")
     }
 
     fn command(&self) -> Command {
         let mut command = Command::new(env!("CARGO_BIN_EXE_ironpaddle"));
-        command.arg(self.config()).env("TMPDIR", &self.0);
+        command.arg(self.config()).env("TMPDIR", &self.path);
+        if let Some(faults) = &self.faults {
+            command.env("LD_PRELOAD", faults_library()).env("FAULTS", faults);
+        }
         command
     }
 }
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
+        let _ = std::fs::remove_dir_all(&self.path);
     }
 }
 
+/// The library that makes system calls fail, which is built beside the tests.
+fn faults_library() -> PathBuf {
+    let library = std::env::current_exe().unwrap().with_file_name("libironpaddle_faults.so");
+    assert!(library.exists(), "{}", library.display());
+    library
+}
+
 /// A final answer.
 #[derive(Debug)]
 pub struct Answer {
@@ -122,20 +136,36 @@
         let board = Arc::new(Board::default());
         let stores: Vec<_> = (0..stores).map(|store| stand_in::run_store(&board, wire, store)).collect();
         let config = config(wire, &stores, max_open, &board);
-        Aggregator::spawn(wire, board, stores, &config)
+        Aggregator::spawn(wire, board, stores, &config, None)
     }
 
     /// One of a configuration that the test has changed.
     pub fn changed(wire: Wire, stores: usize, change: impl FnOnce(&mut Value, &[SocketAddr])) -> Self {
+        Aggregator::failing(wire, stores, None, change)
+    }
+
+    /// The same, with system calls that fail for its processes.
+    pub fn failing(
+        wire: Wire,
+        stores: usize,
+        faults: Option<&str>,
+        change: impl FnOnce(&mut Value, &[SocketAddr]),
+    ) -> Self {
         let board = Arc::new(Board::default());
         let stores: Vec<_> = (0..stores).map(|store| stand_in::run_store(&board, wire, store)).collect();
         let mut config = config(wire, &stores, 1000, &board);
         change(&mut config, &stores);
-        Aggregator::spawn(wire, board, stores, &config)
+        Aggregator::spawn(wire, board, stores, &config, faults)
     }
 
-    fn spawn(wire: Wire, board: Arc<Board>, stores: Vec<SocketAddr>, config: &Value) -> Self {
-        let folder = Folder::new();
+    fn spawn(
+        wire: Wire,
+        board: Arc<Board>,
+        stores: Vec<SocketAddr>,
+        config: &Value,
+        faults: Option<&str>,
+    ) -> Self {
+        let folder = Folder::new(faults.map(str::to_string));
         std::fs::write(folder.config(), config.to_string()).unwrap();
         Aggregator::run(wire, board, stores, folder)
     }
@@ -159,7 +189,7 @@
 
     /// The socket at which processes of this aggregator find each other.
     pub fn meeting(&self) -> PathBuf {
-        self.folder.0.join("ironpaddle-n0.sock")
+        self.folder.path.join("ironpaddle-n0.sock")
     }
 
     fn run(wire: Wire, board: Arc<Board>, stores: Vec<SocketAddr>, folder: Arc<Folder>) -> Self {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod copies;
 mod endings;
+mod faults;
 mod keys;
 mod narrow;
 mod operator;
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -68,6 +68,8 @@
 pub struct State {
     /// What each run store does with parts; `Serve` where nothing is said.
     pub acts: BTreeMap<usize, Act>,
+    /// How long a run store works on each part.
+    pub work: Duration,
     /// Run store and shard of each part that arrived whole, in order.
     pub parts: Vec<(usize, u32)>,
     /// The time that each of these was told it has, in milliseconds.
@@ -208,15 +210,17 @@
     })
 }
 
+fn write_frame(stream: &mut TcpStream, letter: u8, rest: &[u8]) -> io::Result<()> {
+    let mut frame = (rest.len() as u32 + 1).to_le_bytes().to_vec();
+    frame.push(letter);
+    frame.extend_from_slice(rest);
+    stream.write_all(&frame)
+}
+
 fn frames(board: &Board, store: usize, mut stream: TcpStream) -> io::Result<()> {
     let mut send = stream.try_clone()?;
     let mut reply = stream.try_clone()?;
-    let mut answer = move |letter: u8, rest: &[u8]| -> io::Result<()> {
-        let mut frame = (rest.len() as u32 + 1).to_le_bytes().to_vec();
-        frame.push(letter);
-        frame.extend_from_slice(rest);
-        reply.write_all(&frame)
-    };
+    let mut answer = move |letter: u8, rest: &[u8]| write_frame(&mut reply, letter, rest);
     loop {
         let mut length = [0; 4];
         stream.read_exact(&mut length)?;
@@ -235,7 +239,19 @@
                 assert_eq!(size.parse::<usize>().unwrap(), query.len());
                 assert_eq!(id.rsplit_once('.').unwrap().1, shard);
                 match board.arrived(store, shard.parse().unwrap(), told_ms, key) {
-                    Act::Serve => answer(b'5', format!("{id} S 7 util=0.50,qps=3\nv{shard}").as_bytes())?,
+                    Act::Serve => {
+                        let answered = format!("{id} S 7 util=0.50,qps=3\nv{shard}");
+                        let (work, mut later) = (board.read(|state| state.work), send.try_clone()?);
+                        if work.is_zero() {
+                            answer(b'5', answered.as_bytes())?;
+                        } else {
+                            // Other parts are read meanwhile.
+                            thread::spawn(move || {
+                                thread::sleep(work);
+                                let _ = write_frame(&mut later, b'5', answered.as_bytes());
+                            });
+                        }
+                    }
                     Act::Pieces => {
                         let rest = format!("5{id} S 7 -\nv{shard}");
                         let frame = [&(rest.len() as u32).to_le_bytes()[..], rest.as_bytes()].concat();
@@ -327,7 +343,10 @@
         let key = head.lines().find_map(|line| line.strip_prefix("idempotency-key: "));
         let told_ms = first.split("timeout=").nth(1).unwrap().split("ms").next().unwrap().parse().unwrap();
         match board.arrived(store, shard, told_ms, key) {
-            Act::Serve => respond(&mut stream, "200 OK", &found(shard))?,
+            Act::Serve => {
+                thread::sleep(board.read(|state| state.work));
+                respond(&mut stream, "200 OK", &found(shard))?;
+            }
             Act::Pieces => {
                 let body = found(shard);
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
