Make calls again that fail for a moment, and ask for room only where descriptors lack

Cause: futures-lite hands an interrupted recv or send, and one without memory, to the caller, and the connections took it for their end; Server::take asked for room after each error of accept. Ruled out: accept itself, which leaves the connection in the queue or says that it came to nothing.

Change: src/net.rs wraps each TCP connection (clients, run stores, discovery, peers): EINTR is tried again at once, ENOBUFS and ENOMEM after 5 ms. Fault says whose fault an error of accept or connect is; only want of descriptors or memory closes a connection that stands idle, and one that came to nothing is passed over.

--- a/src/directory/dns_sd.rs
+++ b/src/directory/dns_sd.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use async_net::{TcpStream, UdpSocket};
+use async_net::UdpSocket;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 
 use super::dns::{self, Data, Kind, Name, Record, Response};
@@ -22,6 +22,7 @@
 use crate::core::{Listed, News};
 use crate::http::client::within;
 use crate::log::{self, Reason};
+use crate::net::Stream;
 use crate::transport::span;
 
 /// How long a query may take, and how often it is made: datagrams get lost.
@@ -176,7 +177,7 @@
     }
 
     async fn stream(&self, query: &[u8]) -> io::Result<Response> {
-        let mut stream = TcpStream::connect(self.server).await?;
+        let mut stream = Stream::connect(self.server).await?;
         let length = (query.len() as u16).to_be_bytes();
         stream.write_all(&[&length[..], query].concat()).await?;
         let mut length = [0; 2];
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use async_net::TcpStream;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 
 use super::parse::{Kind, Message, Parser};
+use crate::net::Stream;
 
 /// A connection to a server.
 pub struct Client {
-    stream: TcpStream,
+    stream: Stream,
     most_body: usize,
 }
 
@@ -37,8 +37,7 @@
     /// # Errors
     /// If it is refused or not up in time.
     pub async fn connect(to: SocketAddr, limit: Duration, most_body: usize) -> io::Result<Self> {
-        let stream = within(limit, TcpStream::connect(to)).await?;
-        stream.set_nodelay(true)?;
+        let stream = within(limit, Stream::connect(to)).await?;
         Ok(Client { stream, most_body })
     }
 
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -6,7 +6,6 @@
 
 use async_channel::Sender;
 use async_io::Timer;
-use async_net::TcpStream;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 
 use super::inbox::{Arrived, Inbox};
@@ -14,6 +13,7 @@
 use super::server::{Handler, Refused, Server};
 use super::write::Response;
 use crate::log::Reason;
+use crate::net::Stream;
 
 /// After a last answer, the time in which the client may end its own side, so that a reset does not overtake the answer.
 const LINGER: Duration = Duration::from_millis(500);
@@ -25,7 +25,7 @@
 /// A connection that was accepted.
 pub struct Connection<'s> {
     server: &'s Server,
-    stream: TcpStream,
+    stream: Stream,
     inbox: Inbox,
     requests: u64,
     /// When it was accepted.
@@ -59,7 +59,7 @@
 
 impl<'s> Connection<'s> {
     /// A connection of a server that was accepted just now.
-    pub fn new(server: &'s Server, stream: TcpStream) -> Self {
+    pub fn new(server: &'s Server, stream: Stream) -> Self {
         Connection { server, stream, inbox: Inbox::default(), requests: 0, since: Instant::now() }
     }
 
@@ -318,7 +318,7 @@
 /// that is gone looks the same until something is written to it.
 async fn watch(
     handler: &dyn Handler,
-    stream: &mut TcpStream,
+    stream: &mut Stream,
     inbox: &mut Inbox,
     sooner: Sender<Instant>,
 ) -> Left {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -22,6 +22,7 @@
 use super::parse::{Bad, Message};
 use super::write::Response;
 use crate::log::{self, Reason};
+use crate::net::{Fault, Stream};
 
 /// A future on the one thread.
 pub type Local<T> = Pin<Box<dyn Future<Output = T>>>;
@@ -216,11 +217,20 @@
                 // Its first bytes are looked at before the next connection may push it out.
                 future::yield_now().await;
             }
-            // No descriptor is left: connections wait in the queue until one is.
             Err(error) => {
                 log::line(&format!("accept failed: {error}"));
-                self.close_longest_idle();
-                Timer::after(ACCEPT_PAUSE).await;
+                match Fault::of(&error) {
+                    // No descriptor is left: connections wait in the queue until one is.
+                    Fault::Room => {
+                        self.close_longest_idle();
+                        Timer::after(ACCEPT_PAUSE).await;
+                    }
+                    Fault::Machine => {
+                        Timer::after(ACCEPT_PAUSE).await;
+                    }
+                    // That connection came to nothing, and the next one may be there.
+                    Fault::Connection => future::yield_now().await,
+                }
             }
         }
     }
@@ -257,7 +267,8 @@
 
     fn welcome(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
         // From its first write on: what the system holds back goes with a connection that is reset.
-        let _ = stream.set_nodelay(true);
+        let stream = Stream::from(stream);
+        let _ = stream.set_nodelay();
         let refused = self.open.get() >= self.room.get() && !self.close_longest_idle();
         self.open.set(self.open.get() + 1);
         let server = self.clone();
--- a/src/store/peers.rs
+++ b/src/store/peers.rs
@@ -12,13 +12,14 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_net::{TcpListener, TcpStream};
+use async_net::TcpListener;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use serde::{Deserialize, Serialize};
 
 use super::{Entry, Store};
 use crate::http::client::within;
 use crate::log::{self, Reason};
+use crate::net::Stream;
 
 const CONNECT: Duration = Duration::from_millis(500);
 const REDIAL: Duration = Duration::from_millis(500);
@@ -83,7 +84,7 @@
                     self.accepted.set(self.accepted.get() + 1);
                     let peers = self.clone();
                     let task = async move {
-                        peers.talk(stream, peer, &Cell::new(true)).await;
+                        peers.talk(stream.into(), peer, &Cell::new(true)).await;
                         peers.accepted.set(peers.accepted.get() - 1);
                     };
                     self.executor.spawn(task).detach();
@@ -99,7 +100,7 @@
     async fn dial(self: Rc<Self>, peer: SocketAddr) {
         let settled = Cell::new(false);
         loop {
-            if let Ok(stream) = within(CONNECT, TcpStream::connect(peer)).await {
+            if let Ok(stream) = within(CONNECT, Stream::connect(peer)).await {
                 self.talk(stream, peer, &settled).await;
             }
             self.settle(&settled);
@@ -113,7 +114,7 @@
         }
     }
 
-    async fn talk(&self, stream: TcpStream, peer: SocketAddr, settled: &Cell<bool>) {
+    async fn talk(&self, stream: Stream, peer: SocketAddr, settled: &Cell<bool>) {
         let read = async { self.read(stream.clone(), settled).await };
         let write = async { self.write(stream.clone()).await };
         let reason = match future::or(read, write).await {
@@ -125,7 +126,7 @@
         log::ended("peer", Some(peer), reason, "");
     }
 
-    async fn read(&self, mut stream: TcpStream, settled: &Cell<bool>) -> io::Result<Reason> {
+    async fn read(&self, mut stream: Stream, settled: &Cell<bool>) -> io::Result<Reason> {
         let mut buffer = Vec::new();
         let mut bytes = vec![0; 16 * 1024];
         loop {
@@ -152,7 +153,7 @@
         }
     }
 
-    async fn write(&self, mut stream: TcpStream) -> io::Result<Reason> {
+    async fn write(&self, mut stream: Stream) -> io::Result<Reason> {
         let changed = self.store.listen();
         let mut sent: BTreeMap<String, Entry> = BTreeMap::new();
         let mut synced = false;
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -12,13 +12,13 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use async_net::TcpStream;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 
 use crate::api::{Millis, Outcome, ReplicaId};
 use crate::core::drive::{Driver, RunStores};
 use crate::core::{Call, CallEnd, CallNo};
 use crate::log::{self, Reason};
+use crate::net::Stream;
 use crate::settings::Info;
 use crate::transport::{span, At, Limits};
 use link::{Ended, Link};
@@ -225,7 +225,7 @@
 
     async fn talk(self: &Rc<Self>, address: SocketAddr, connection: &Connection) -> Reason {
         let cut = || async { connection.cut.1.recv().await.unwrap_or(Reason::Retired) };
-        let connect = async { TcpStream::connect(address).await.map_err(|_| Reason::ConnectFailed) };
+        let connect = async { Stream::connect(address).await.map_err(|_| Reason::ConnectFailed) };
         let limit = async {
             Timer::after(self.limits.get().connect).await;
             Err(Reason::ConnectTimeout)
@@ -235,7 +235,6 @@
             Ok(stream) => stream,
             Err(reason) => return reason,
         };
-        let _ = stream.set_nodelay(true);
         let read = async { self.read(stream.clone(), connection).await.unwrap_or(Reason::Reset) };
         let write = async { self.write(stream.clone(), connection).await.unwrap_or(Reason::Reset) };
         // Reading comes first: an end that has come is seen before anything is written after it.
@@ -249,7 +248,7 @@
 
     /// Ends this side of a connection, and waits until the run store has ended its own or nothing is out any more: that
     /// it was closed here does not say that the run store has read so.
-    async fn linger(self: &Rc<Self>, mut stream: TcpStream, connection: &Connection, reason: Reason) {
+    async fn linger(self: &Rc<Self>, mut stream: Stream, connection: &Connection, reason: Reason) {
         connection.closing.set(Some(reason));
         let (queued, ended) = {
             let mut link = connection.link.borrow_mut();
@@ -282,7 +281,7 @@
         }
     }
 
-    async fn read(&self, mut stream: TcpStream, connection: &Connection) -> io::Result<Reason> {
+    async fn read(&self, mut stream: Stream, connection: &Connection) -> io::Result<Reason> {
         let mut bytes = vec![0; 16 * 1024];
         loop {
             let begun = connection.link.borrow().inside_since();
@@ -312,7 +311,7 @@
         }
     }
 
-    async fn write(&self, mut stream: TcpStream, connection: &Connection) -> io::Result<Reason> {
+    async fn write(&self, mut stream: Stream, connection: &Connection) -> io::Result<Reason> {
         let wait = |call: &Call| (call.until - self.driver.now()).max(1.0) as u64;
         loop {
             let begun = self.driver.now();
