Place starts on the process's clock, hand that clock over, and wait where no socket can be made

Cause: since_ms went to the router as it stands (Core::take_news), whose clock begins at the wall clock of the process's start (Driver::new) and parts from it with each step; two processes of an aggregator each had their own origin; a connect that failed for want of descriptors, memory, ports or a route ended calls as ConnectFailed (Frames::talk, Searches::keep), which parks run stores. Ruled out: the cold share itself, which holds once the start is right; the watch, which tells starts in time.

Change: src/starts.rs places a start told as news: by the steps of the wall clock that were seen, never ahead of now, never before what the shortest lag of such news leaves in doubt, and at now where it would be warm already; what a process begins with stays as stated. It is handed over, with the old process's clock, which the new one goes on from. A call whose connection this machine cannot make waits as for room, and ends unsent after the connect time-out; the log says no_socket.

--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -63,7 +63,7 @@
 pub struct Driver {
     core: RefCell<Core>,
     executor: Rc<LocalExecutor<'static>>,
-    /// The clock's origin, as Unix time and as an instant: run stores' start times are Unix times.
+    /// The clock's origin, as Unix time and as an instant: from there on it only runs forward.
     origin: (Millis, Instant),
     signal: (Sender<()>, Receiver<()>),
     waiting: RefCell<HashMap<QueryNo, Waiting>>,
@@ -89,11 +89,16 @@
 impl Driver {
     /// A driver for a core; [`Driver::connect`] completes it.
     pub fn new(core: Core, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Driver::going_on_from(core, executor, wall_clock())
+    }
+
+    /// The same, with the clock of a process from which this one takes over, which shows a time just now. Times that
+    /// are handed over mean the same to both, however the wall clock was stepped.
+    pub fn going_on_from(core: Core, executor: Rc<LocalExecutor<'static>>, now: Millis) -> Rc<Self> {
         Rc::new(Driver {
             core: RefCell::new(core),
             executor,
-            origin: (unix.as_secs_f64() * 1000.0, Instant::now()),
+            origin: (now, Instant::now()),
             signal: async_channel::bounded(1),
             waiting: RefCell::default(),
             timers: RefCell::default(),
@@ -353,6 +358,7 @@
 
     /// News of the list of run stores.
     pub fn take_news(self: &Rc<Self>, news: News) {
+        self.note_clock();
         self.core.borrow_mut().take_news(news);
         self.carry_out();
     }
@@ -378,6 +384,7 @@
                 Timer::at(last + tick).await;
             }
             last = Some(Instant::now());
+            self.note_clock();
             let now = self.now();
             self.core.borrow_mut().step(now);
             self.carry_out();
@@ -387,6 +394,11 @@
         }
     }
 
+    fn note_clock(&self) {
+        let now = self.now();
+        self.core.borrow_mut().note_clock(now, wall_clock() - now);
+    }
+
     /// Whether something that was told waits for the next step.
     pub fn has_news(&self) -> bool {
         self.core.borrow().has_news()
@@ -463,6 +475,11 @@
     span.as_secs_f64() * 1000.0
 }
 
+/// The wall clock, in Unix milliseconds. It may be stepped at any time.
+fn wall_clock() -> Millis {
+    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+}
+
 /// The time since an origin of the clock, in Unix milliseconds.
 fn since(origin: (Millis, Instant)) -> Millis {
     origin.0 + millis(origin.1.elapsed())
--- a/src/core/legacy.rs
+++ b/src/core/legacy.rs
@@ -5,12 +5,16 @@
 use super::hand::Hand;
 use super::Core;
 use crate::settings::Info;
+use crate::starts::Starts;
 
 /// What the rules see as one aggregator's, beside the list of run stores.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Legacy {
     /// What operators have said.
     pub hand: Hand,
+    /// When run stores started, by the clock that both share; a process of an older version does not say.
+    #[serde(default)]
+    starts: Starts,
     /// What the router has learned, by the places of classes.
     learned: String,
     /// The classes by their places.
@@ -20,7 +24,12 @@
 impl Core {
     /// What the process that takes over is to know.
     pub fn legacy(&self) -> Legacy {
-        Legacy { hand: self.hand.clone(), learned: self.router.learned(), classes: self.classes.order() }
+        Legacy {
+            hand: self.hand.clone(),
+            starts: self.starts.clone(),
+            learned: self.router.learned(),
+            classes: self.classes.order(),
+        }
     }
 
     /// Takes that over, before any list; says whether what was learned could be read.
@@ -29,6 +38,7 @@
     /// Says which setting contradicts itself.
     pub fn inherit(&mut self, info: &Info, legacy: Legacy) -> Result<bool, String> {
         self.hand = legacy.hand;
+        self.starts = legacy.starts;
         self.classes.in_order(&legacy.classes, info);
         self.retune(info)?;
         Ok(self.router.recall(&legacy.learned))
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -31,6 +31,7 @@
 use crate::counters::{Counters, Gauges};
 use crate::hash::mix;
 use crate::settings::Info;
+use crate::starts::Starts;
 use crate::trace::tape::{InForce, Tape};
 use crate::Router;
 use classes::Classes;
@@ -285,6 +286,13 @@
     probe_timeout: Millis,
     ledger: Ledger,
     hand: Hand,
+    /// When run stores started, and the time now by the clock that they are placed on, once it was told.
+    starts: Starts,
+    clock: Option<Millis>,
+    /// When it was told for the first time.
+    began: Option<Millis>,
+    /// Whether the directory has told a list.
+    listed: bool,
     /// The watch on the agent, where lists are pushed, and on the service, should that fall silent.
     agent: Watching,
     service: Watching,
@@ -320,6 +328,10 @@
             probe_timeout: 0.0,
             ledger: Ledger::default(),
             hand: Hand::default(),
+            starts: Starts::default(),
+            clock: None,
+            began: None,
+            listed: false,
             agent: Watching::an_agent(),
             service: Watching::the_service(),
             chance: mix(seed),
@@ -368,6 +380,13 @@
         self.ledger.end_by(at);
     }
 
+    /// The time now, and how far the wall clock is ahead of it. Until it is told, starts are taken as lists state them.
+    pub fn note_clock(&mut self, now: Millis, wall_ahead: Millis) {
+        self.began.get_or_insert(now);
+        self.clock = Some(now);
+        self.starts.note_wall_clock(wall_ahead);
+    }
+
     /// How long the client of a query waits: as it states, and no longer than its class is given up for.
     pub fn wait_of(&self, class: &str, stated: Option<Millis>) -> Option<Millis> {
         let most = self.classes.at(self.classes.named(class)?).deadline;
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -4,8 +4,12 @@
 
 use super::ledger::Place;
 use super::{CallNo, Core, Listed, News, Order, Verdict};
-use crate::api::{Action, Event, ListNews, Millis, ReplicaState};
+use crate::api::{Action, Event, ListNews, Millis, Replica, ReplicaState};
 use crate::hash::draw;
+use crate::starts::Told;
+
+/// An answer of the directory that comes sooner than this after the start tells what it had before.
+const PROMPT: Millis = 200.0;
 
 impl Core {
     /// Hands the router all that happened by `now` and carries out what it says.
@@ -70,7 +74,8 @@
     }
 
     /// Takes news of the list of run stores.
-    pub fn take_news(&mut self, news: News) {
+    pub fn take_news(&mut self, mut news: News) {
+        self.place_starts(&mut news);
         let (listed, whole) = match &news {
             News::Cached(lines) | News::Full(lines) => (lines.as_slice(), true),
             News::Changes(lines) => (lines.as_slice(), false),
@@ -90,6 +95,7 @@
             for id in missing {
                 self.ledger.places.remove(&id);
                 self.hand.forget(&id);
+                self.starts.forget(&id);
                 self.orders.push_back(Order::Retire(id));
             }
         }
@@ -108,13 +114,40 @@
 
     /// The list as last told, whatever operators say.
     pub fn directory(&self) -> Vec<Listed> {
-        let line = |place: &Place| Listed {
-            replica: place.told.clone(),
-            address: place.at.map(|(address, _)| address),
+        let line = |place: &Place| {
+            let told = &place.told;
+            let started = self.starts.stated(&told.id).or(told.started);
+            let replica = Replica { started, ..told.clone() };
+            Listed { replica, address: place.at.map(|(address, _)| address) }
         };
         self.ledger.places.values().map(line).collect()
     }
 
+    /// Places the starts that lines state on the process's clock.
+    fn place_starts(&mut self, news: &mut News) {
+        let whole = matches!(news, News::Full(_));
+        let (lines, told) = match news {
+            News::Cached(lines) => (lines, Told::AtFirst),
+            News::Full(lines) | News::Changes(lines) => {
+                let first = !std::mem::replace(&mut self.listed, true);
+                let told = if first && (whole || self.is_prompt()) { Told::AtFirst } else { Told::Since };
+                (lines, told)
+            }
+            News::Broken | News::Silent => return,
+        };
+        let Some(now) = self.clock else { return };
+        let warm_within = self.settings.cold.map_or(0.0, |rule| rule.warm_within);
+        for replica in lines.iter_mut().map(|line| &mut line.replica) {
+            replica.started = self.starts.place(&replica.id, replica.started, now, told, warm_within);
+        }
+    }
+
+    /// Whether no watch can have waited for news yet since the process began.
+    fn is_prompt(&self) -> bool {
+        let (Some(began), Some(now)) = (self.began, self.clock) else { return true };
+        now - began <= PROMPT
+    }
+
     fn locate(&mut self, line: &Listed) {
         let replica = self.hand.over(&line.replica);
         let (id, state) = (replica.id.clone(), replica.state);
@@ -135,6 +168,7 @@
             // Run stores are replaced by new ones with new names all day: nothing is kept of the old ones.
             self.ledger.places.remove(&id);
             self.hand.forget(&id);
+            self.starts.forget(&id);
             return;
         }
         let now = Place { told: line.replica.clone(), replica, at };
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -41,6 +41,9 @@
     pub discovery: Option<SocketAddr>,
     /// What the core leaves.
     pub legacy: Legacy,
+    /// What the old process's clock shows, by which all times in this count; one of an older version does not say.
+    #[serde(default)]
+    pub now: Option<Millis>,
     /// Whether operators want no clients.
     pub shut: bool,
     /// Whether it was recording; a process of an older version does not say.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod service;
 #[allow(missing_docs)] // Its fields have the names that the settings object gives them.
 pub mod settings;
+pub mod starts;
 pub mod store;
 pub mod trace;
 pub mod transport;
--- a/src/log.rs
+++ b/src/log.rs
@@ -36,6 +36,8 @@
     ConnectFailed,
     /// It did not come up in time.
     ConnectTimeout,
+    /// This machine could make no connection, whoever the peer is.
+    NoSocket,
     /// It broke.
     Reset,
     /// The other side reported a frame that it could not use.
@@ -64,6 +66,7 @@
             Reason::TooSlow => "too_slow",
             Reason::ConnectFailed => "connect_failed",
             Reason::ConnectTimeout => "connect_timeout",
+            Reason::NoSocket => "no_socket",
             Reason::Reset => "reset",
             Reason::Protocol => "protocol",
             Reason::Silent => "silent",
--- a/src/service/program.rs
+++ b/src/service/program.rs
@@ -88,7 +88,10 @@
                 "handover: taken over, without what was learned"
             });
         }
-        let driver = Driver::new(core, executor.clone());
+        let driver = match state.as_ref().and_then(|state| state.now) {
+            Some(now) => Driver::going_on_from(core, executor.clone(), now),
+            None => Driver::new(core, executor.clone()),
+        };
         if let Some(trace) = &config.trace {
             driver.set_recording(Control::new(trace.keep(), source(&config, driver.now())));
             // As it was in the process that hands over: operators may have switched it there.
@@ -199,6 +202,7 @@
             list,
             discovery: self.reloads.discovery(),
             legacy: self.driver.legacy(),
+            now: Some(self.driver.now()),
             shut: self.door.is_shut_by_hand(),
             recording: self.driver.recording().map(Control::is_on),
             entries: self.store.as_ref().map(|(store, _)| store.entries()).unwrap_or_default(),
--- /dev/null
+++ b/src/starts/tests.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+const HOUR: Millis = 3_600_000.0;
+const NOW: Millis = 50.0 * HOUR;
+const WARM_WITHIN: Millis = 16_000.0;
+
+fn id(name: &str) -> ReplicaId {
+    ReplicaId::from(name)
+}
+
+fn news(starts: &mut Starts, name: &str, stated: Millis, now: Millis) -> Millis {
+    starts.place(&id(name), Some(stated), now, Told::Since, WARM_WITHIN).unwrap()
+}
+
+#[test]
+fn a_start_is_never_placed_before_it_was_nor_ahead_of_now() {
+    for clock_is_ahead in [-HOUR, -5000.0, 0.0, 5000.0, HOUR] {
+        let mut starts = Starts::default();
+        for (n, lag) in [3000.0, 1000.0, 9000.0].into_iter().enumerate() {
+            let now = NOW + n as Millis * 20_000.0;
+            let placed = news(&mut starts, &format!("s{n}"), now - lag - clock_is_ahead, now);
+            assert!(
+                (now - lag..=now).contains(&placed),
+                "ahead by {clock_is_ahead}: {lag} ms, {}",
+                now - placed
+            );
+        }
+    }
+}
+
+#[test]
+fn a_step_of_the_wall_clock_that_was_seen_moves_no_start() {
+    for step in [-HOUR, -5000.0, HOUR] {
+        let mut starts = Starts::default();
+        starts.note_wall_clock(0.0);
+        let before = news(&mut starts, "before", NOW - 2000.0, NOW);
+        starts.note_wall_clock(step);
+        let later = NOW + 30_000.0;
+        // Told again, with another state.
+        assert_eq!(news(&mut starts, "before", NOW - 2000.0, later), before);
+        let placed = news(&mut starts, "behind", later - 4000.0 + step, later);
+        assert_eq!(later - placed, 2000.0, "step {step}");
+    }
+}
+
+#[test]
+fn what_a_process_begins_with_is_as_old_as_stated() {
+    let mut starts = Starts::default();
+    let at = |starts: &mut Starts, stated| starts.place(&id("a"), stated, NOW, Told::AtFirst, WARM_WITHIN);
+    assert_eq!(at(&mut starts, Some(NOW - HOUR)), Some(NOW - HOUR));
+    assert_eq!(at(&mut starts, Some(NOW + HOUR)), Some(NOW), "its own clock is wrong");
+    assert_eq!(at(&mut starts, None), None);
+    assert_eq!(starts.stated(&id("a")), None);
+}
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -17,10 +17,11 @@
 use crate::api::{Millis, Outcome, ReplicaId};
 use crate::core::drive::{Driver, RunStores};
 use crate::core::{Call, CallEnd, CallNo};
+use crate::http::client::within;
 use crate::log::{self, Reason};
 use crate::net::Stream;
 use crate::settings::Info;
-use crate::transport::{span, At, Limits};
+use crate::transport::{connect_failed, span, At, Limits, NO_SOCKET_PAUSE};
 use link::{Ended, Link};
 
 /// The longest a frame may take to be written. A run store that reads nothing for so long is no use.
@@ -133,7 +134,7 @@
     /// The life of a connection, from before it is up to its line in the log.
     async fn keep(self: Rc<Self>, replica: ReplicaId, address: SocketAddr, connection: Rc<Connection>) {
         let reason = self.talk(address, &connection).await;
-        let came_up = !matches!(reason, Reason::ConnectFailed | Reason::ConnectTimeout);
+        let says_nothing = !matches!(reason, Reason::ConnectFailed | Reason::ConnectTimeout);
         // From here on nothing is put on it; only then is what it carried ended.
         if let Some(place) = self.places.borrow_mut().get_mut(&replica) {
             place.connections.retain(|known| !Rc::ptr_eq(known, &connection));
@@ -142,7 +143,7 @@
         self.open.set(self.open.get() - 1);
         // Run stores close connections between requests as they like. What had not begun to be written goes on
         // another connection: that this one ended is no sign that the run store cannot be reached.
-        let queued = if came_up { connection.link.borrow_mut().take_queued() } else { Vec::new() };
+        let queued = if says_nothing { connection.link.borrow_mut().take_queued() } else { Vec::new() };
         let ended = connection.link.borrow_mut().broken(reason == Reason::Protocol);
         log::ended(
             "run_store",
@@ -151,8 +152,12 @@
             format_args!("name={} lost={}", replica.0, ended.len()),
         );
         self.report(ended);
-        for call in queued {
-            self.put(call, Link::push_again);
+        if reason == Reason::NoSocket {
+            // What is queued waits for one, as it waits for room.
+            queued.into_iter().for_each(|call| self.wait_for_room((call, Link::push)));
+            Timer::after(NO_SOCKET_PAUSE).await;
+        } else {
+            queued.into_iter().for_each(|call| self.put(call, Link::push_again));
         }
         self.put_waiting();
     }
@@ -168,11 +173,16 @@
     /// Puts a call on a connection. Where there may be no more of them, one that stands idle makes room, as soon as one
     /// does: that this aggregator holds many connections says nothing of the run store, which is not even asked.
     fn put(self: &Rc<Self>, call: Call, push: Push) {
-        let no = call.no;
-        if self.try_put(call, push) {
-            return;
+        if let Some(left) = self.try_put(call, push) {
+            self.close_longest_idle();
+            self.wait_for_room(left);
         }
-        self.close_longest_idle();
+    }
+
+    /// A call waits until a connection may be had, as long as one may take to come up.
+    fn wait_for_room(self: &Rc<Self>, (call, push): (Call, Push)) {
+        let no = call.no;
+        self.waiting.borrow_mut().push_back((call, push));
         let (frames, limit) = (self.clone(), self.limits.get().connect);
         let given_up = async move {
             Timer::after(limit).await;
@@ -183,26 +193,24 @@
         self.driver.executor().spawn(given_up).detach();
     }
 
-    /// Puts a call on a connection, or lets it wait for room: then it is `false`.
-    fn try_put(self: &Rc<Self>, call: Call, push: Push) -> bool {
+    /// Puts a call on a connection, or hands it back if there is no room for one.
+    fn try_put(self: &Rc<Self>, call: Call, push: Push) -> Option<(Call, Push)> {
         match self.connection(&call.replica) {
             Ok(connection) => {
                 push(&mut connection.link.borrow_mut(), call);
                 connection.wake();
             }
             Err(Lack::Place) => self.driver.call_ended(call.no, CallEnd::bare(Outcome::ConnectFailed)),
-            Err(Lack::Room) => {
-                self.waiting.borrow_mut().push_back((call, push));
-                return false;
-            }
+            Err(Lack::Room) => return Some((call, push)),
         }
-        true
+        None
     }
 
     /// There may be room for what waits.
     fn put_waiting(self: &Rc<Self>) {
         for (call, push) in self.waiting.take() {
-            self.try_put(call, push);
+            let left = self.try_put(call, push);
+            self.waiting.borrow_mut().extend(left);
         }
     }
 
@@ -225,13 +233,10 @@
 
     async fn talk(self: &Rc<Self>, address: SocketAddr, connection: &Connection) -> Reason {
         let cut = || async { connection.cut.1.recv().await.unwrap_or(Reason::Retired) };
-        let connect = async { Stream::connect(address).await.map_err(|_| Reason::ConnectFailed) };
-        let limit = async {
-            Timer::after(self.limits.get().connect).await;
-            Err(Reason::ConnectTimeout)
-        };
+        let connect = within(self.limits.get().connect, Stream::connect(address));
+        let connect = async { connect.await.map_err(|error| connect_failed(&error)) };
         let retired = async { Err(cut().await) };
-        let stream = match future::or(future::or(connect, limit), retired).await {
+        let stream = match future::or(connect, retired).await {
             Ok(stream) => stream,
             Err(reason) => return reason,
         };
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,10 +3,13 @@
 pub mod frames;
 pub mod opensearch;
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::api::Millis;
+use crate::log::Reason;
+use crate::net::Fault;
 use crate::settings::Info;
 
 /// What transports keep to.
@@ -32,6 +35,18 @@
 /// Where a run store listens, and since when its process runs.
 type At = (SocketAddr, Option<Millis>);
 
+/// The pause after this machine could make no connection.
+const NO_SOCKET_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a connection could not be made.
+fn connect_failed(error: &io::Error) -> Reason {
+    match (error.kind(), Fault::of(error)) {
+        (io::ErrorKind::TimedOut, _) => Reason::ConnectTimeout,
+        (_, Fault::Connection) => Reason::ConnectFailed,
+        (_, Fault::Room | Fault::Machine) => Reason::NoSocket,
+    }
+}
+
 /// The share of the idle time after which run stores close that a connection is kept here: to close first is
 /// to never write to one that is being closed.
 const IDLE_SHARE: f64 = 0.8;
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -23,7 +23,7 @@
 use crate::http::write;
 use crate::log::{self, Reason};
 use crate::settings::Info;
-use crate::transport::{span, At, Limits};
+use crate::transport::{connect_failed, span, At, Limits, NO_SOCKET_PAUSE};
 use answer::Found;
 
 /// Connections to one run store at once; more searches wait for one of these.
@@ -200,7 +200,7 @@
         if let Some(place) = self.places.borrow_mut().get_mut(&replica) {
             place.workers.retain(|known| !Rc::ptr_eq(known, &worker));
             let unborn = worker.stage.get() == Stage::Connecting;
-            if unborn && place.workers.is_empty() {
+            if unborn && place.workers.is_empty() && reason != Reason::NoSocket {
                 lost.extend(place.queue.drain(..).map(|job| (job.no(), Outcome::ConnectFailed)));
             }
         }
@@ -222,7 +222,13 @@
             self.driver.call_ended(no, CallEnd::bare(outcome));
             self.driver.probe_ended(no, false, None);
         }
-        self.pump(&replica);
+        if reason == Reason::NoSocket {
+            // What is queued waits for one, as it waits for room.
+            self.lack_room(&replica);
+            Timer::after(NO_SOCKET_PAUSE).await;
+        } else {
+            self.pump(&replica);
+        }
         self.pump_lacking();
     }
 
@@ -237,8 +243,7 @@
     async fn talk(self: &Rc<Self>, replica: &ReplicaId, address: SocketAddr, worker: &Worker) -> Reason {
         let mut client = match Client::connect(address, self.limits.get().connect, MOST_ANSWER).await {
             Ok(client) => client,
-            Err(error) if error.kind() == io::ErrorKind::TimedOut => return Reason::ConnectTimeout,
-            Err(_) => return Reason::ConnectFailed,
+            Err(error) => return connect_failed(&error),
         };
         loop {
             worker.stage.set(Stage::Idle);
