--- /dev/null
+++ b/crates/faults/src/calls.rs
@@ -0,0 +1,105 @@
+//! The calls that are taken from the C library.
+
+use std::sync::OnceLock;
+
+use libc::{c_int, c_void, size_t, sockaddr, socklen_t, ssize_t, timespec};
+
+use crate::plan::{Fault, Plan};
+
+/// The variable that holds the plan.
+pub const VARIABLE: &str = "FAULTS";
+
+const NANOS_PER_MS: i64 = 1_000_000;
+const NANOS_PER_S: i64 = 1_000_000_000;
+
+fn plan() -> &'static Plan {
+    static PLAN: OnceLock<Plan> = OnceLock::new();
+    PLAN.get_or_init(|| {
+        let plan = std::env::var(VARIABLE).ok().and_then(|text| Plan::read(&text));
+        plan.unwrap_or_else(|| std::process::abort())
+    })
+}
+
+/// Whether a call of a kind fails now; then the thread's error number is set.
+fn fails(fault: Option<Fault>) -> bool {
+    let Some(error) = plan().strikes(fault) else { return false };
+    // SAFETY: the pointer is to this thread's own error number.
+    unsafe { *libc::__errno_location() = error };
+    true
+}
+
+/// The C library's own function of a name.
+macro_rules! next {
+    ($name:literal, $kind:ty) => {{
+        static NEXT: OnceLock<usize> = OnceLock::new();
+        // SAFETY: the name is that of a C function of this type, which the C library has.
+        unsafe {
+            let found = *NEXT.get_or_init(|| libc::dlsym(libc::RTLD_NEXT, $name.as_ptr()) as usize);
+            std::mem::transmute::<usize, $kind>(found)
+        }
+    }};
+}
+
+/// See recv(2).
+///
+/// # Safety
+/// As recv(2).
+#[no_mangle]
+pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
+    if fails(plan().recv) {
+        return -1;
+    }
+    next!(c"recv", unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t)(
+        fd, buffer, length, flags,
+    )
+}
+
+/// See send(2).
+///
+/// # Safety
+/// As send(2).
+#[no_mangle]
+pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, length: size_t, flags: c_int) -> ssize_t {
+    if fails(plan().send) {
+        return -1;
+    }
+    next!(c"send", unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t)(
+        fd, buffer, length, flags,
+    )
+}
+
+/// See accept(2): the call may fail also where a connection waits, which is then gone (ECONNABORTED) or stays.
+///
+/// # Safety
+/// As accept4(2).
+#[no_mangle]
+pub unsafe extern "C" fn accept4(
+    fd: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    if fails(plan().accept) {
+        return -1;
+    }
+    next!(c"accept4", unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int)(
+        fd, address, length, flags,
+    )
+}
+
+/// See clock_gettime(2): the wall clock alone is ahead or behind.
+///
+/// # Safety
+/// As clock_gettime(2).
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, time: *mut timespec) -> c_int {
+    let done =
+        next!(c"clock_gettime", unsafe extern "C" fn(libc::clockid_t, *mut timespec) -> c_int)(clock, time);
+    if done == 0 && clock == libc::CLOCK_REALTIME {
+        let time = &mut *time;
+        let nanos = time.tv_nsec + plan().wall_ms % 1000 * NANOS_PER_MS;
+        time.tv_sec += plan().wall_ms / 1000 + nanos.div_euclid(NANOS_PER_S);
+        time.tv_nsec = nanos.rem_euclid(NANOS_PER_S);
+    }
+    done
+}
--- a/crates/faults/src/plan.rs
+++ b/crates/faults/src/plan.rs
@@ -76,3 +76,6 @@
     let (_, error) = ERRORS.iter().find(|(known, _)| *known == name)?;
     Some(Fault { error: *error, percent: percent.parse().ok().filter(|percent| *percent <= 100)? })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/aggregators.rs
+++ b/crates/lab/src/aggregators.rs
@@ -13,6 +13,8 @@
 
 use crate::stores::read_message;
 
+/// The variable from which the library of `crates/faults` reads what is to fail.
+const FAULTS: &str = "FAULTS";
 /// How long a start may take.
 const START: Duration = Duration::from_secs(20);
 
@@ -25,6 +27,8 @@
     program: PathBuf,
     dir: PathBuf,
     child: Option<Child>,
+    /// What fails for its processes, as the library of `crates/faults` reads it.
+    faults: Option<String>,
     /// CPU of processes that are over, in milliseconds.
     cpu_ms: f64,
 }
@@ -48,6 +52,17 @@
     ironpaddle::service::run(config)
 }
 
+/// The library that makes system calls fail, which is built beside the lab.
+fn faults_library() -> io::Result<PathBuf> {
+    const NAME: &str = "libironpaddle_faults.so";
+    let own = std::env::current_exe()?;
+    let places = [own.with_file_name("deps").join(NAME), own.with_file_name(NAME)];
+    places
+        .into_iter()
+        .find(|path| path.exists())
+        .ok_or_else(|| io::Error::other(format!("there is no {NAME}")))
+}
+
 /// An address that is free just now.
 fn free() -> io::Result<SocketAddr> {
     static TAKEN: AtomicU8 = AtomicU8::new(0);
@@ -62,14 +77,28 @@
     ///
     /// # Errors
     /// If it does not come up.
-    pub fn start(program: &Path, dir: &Path, mut config: Value) -> io::Result<Self> {
+    pub fn start(program: &Path, dir: &Path, config: Value) -> io::Result<Self> {
+        Aggregator::start_failing(program, dir, config, None)
+    }
+
+    /// The same, with system calls that fail for its processes.
+    ///
+    /// # Errors
+    /// If it does not come up.
+    pub fn start_failing(
+        program: &Path,
+        dir: &Path,
+        mut config: Value,
+        faults: Option<&str>,
+    ) -> io::Result<Self> {
         std::fs::create_dir_all(dir)?;
         let (address, operator) = (free()?, free()?);
         config["listen"] = address.to_string().into();
         config["operator"] = operator.to_string().into();
         std::fs::write(dir.join("config.json"), config.to_string())?;
         let (program, dir) = (program.to_path_buf(), dir.to_path_buf());
-        let mut aggregator = Aggregator { address, operator, program, dir, child: None, cpu_ms: 0.0 };
+        let faults = faults.map(str::to_string);
+        let mut aggregator = Aggregator { address, operator, program, dir, child: None, faults, cpu_ms: 0.0 };
         aggregator.spawn()?;
         Ok(aggregator)
     }
@@ -81,6 +110,9 @@
         if std::env::current_exe().is_ok_and(|own| own == self.program) {
             command.arg("aggregator");
         }
+        if let Some(faults) = &self.faults {
+            command.env("LD_PRELOAD", faults_library()?).env(FAULTS, faults);
+        }
         let child = command
             .arg(self.dir.join("config.json"))
             .env("TMPDIR", &self.dir)
@@ -168,6 +200,46 @@
         self.spawn()
     }
 
+    /// Sends its process a signal, if there is one.
+    ///
+    /// # Errors
+    /// If it cannot be sent.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        Command::new("kill").args(["-s", name, &child.id().to_string()]).status().map(drop)
+    }
+
+    /// Its process, which is no longer its own from here on.
+    pub fn take_process(&mut self) -> Option<Child> {
+        self.cpu_ms = self.cpu_ms();
+        self.child.take()
+    }
+
+    /// Starts a further process, which takes over from the running one; that one is handed back.
+    ///
+    /// # Errors
+    /// If it does not come up.
+    pub fn succeed(&mut self) -> io::Result<Option<Child>> {
+        let path = self.dir.join("config.json");
+        let mut config: Value = serde_json::from_slice(&std::fs::read(&path)?)?;
+        self.operator = free()?;
+        config["operator"] = self.operator.to_string().into();
+        std::fs::write(path, config.to_string())?;
+        let old = self.take_process();
+        self.spawn()?;
+        Ok(old)
+    }
+
+    /// Its descriptors and the most memory it has had, in megabytes.
+    pub fn usage(&self) -> Option<(usize, f64)> {
+        let id = self.id()?;
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?.count();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kilobytes: f64 = peak.split_whitespace().next()?.parse().ok()?;
+        Some((descriptors, kilobytes / 1024.0))
+    }
+
     /// Has it stand still, or go on.
     ///
     /// # Errors
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,6 +14,7 @@
 mod report;
 mod scale;
 mod scenario;
+mod soak;
 mod stores;
 
 use std::path::PathBuf;
@@ -43,6 +44,8 @@
     Demo(demo::Options),
     /// Play a scenario between several aggregators, with links between all processes that can be cut, delayed and reset.
     Fleet(demo::Fleet),
+    /// Play drawn lives of small fleets, with troubles in the same window, and judge them by the rules.
+    Soak(soak::Options),
     /// Run hollow aggregators beside real ones, and measure what each role uses and how soon changes are in force.
     Scale(scale::Options),
     /// Stand in for others in a scale run, which starts such processes of itself.
@@ -74,6 +77,7 @@
     let done = match Cli::parse().command {
         Command::Demo(options) => demo::run(&options),
         Command::Fleet(fleet) => demo::fleet(fleet),
+        Command::Soak(options) => soak::run(&options),
         Command::Scale(options) => scale::run(&options),
         Command::ScaleRole { role } => scale::roles::play(role),
         Command::Aggregator { config } => aggregators::be(&config).map(|()| true),
--- /dev/null
+++ b/crates/lab/src/soak/guests.rs
@@ -0,0 +1,240 @@
+//! Clients that behave otherwise than the usual ones, each on a thread of its own until the life is over.
+
+use std::io::{self, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::draw::Guest;
+use crate::clients::{self, End, Query, CLASSES};
+use crate::demo::World;
+use crate::stores;
+use crate::Api;
+
+/// How long a client of sound requests waits for an answer at the most, in milliseconds.
+const WAIT_MS: f64 = 4000.0;
+/// A bad client is owed an error or a close within this time of its connecting, and some for slow machines.
+const OWED: Duration = Duration::from_millis(3000 + 400);
+/// What is sent at once by a client that floods.
+const FLOOD: usize = 100;
+/// Connections of a crowd.
+const CROWD: usize = 150;
+/// After an end in good order, the time in which a reset tells that bytes were left unread.
+const RESET_WITHIN: Duration = Duration::from_millis(1200);
+
+/// A client of one aggregator.
+pub struct Client {
+    /// All that the life has.
+    pub world: Arc<World>,
+    /// The aggregator, and where it listens.
+    pub to: (usize, SocketAddr),
+    /// What it speaks.
+    pub api: Api,
+    /// The source of values.
+    pub seed: u64,
+    /// The number of the client, which is in its queries' ids.
+    pub no: usize,
+}
+
+impl Client {
+    /// Behaves until the life is over.
+    pub fn behave(&self, guest: Guest) {
+        let mut random = fastrand::Rng::with_seed(self.seed ^ (self.no as u64) << 32 ^ 0x9e57);
+        while !self.world.over.load(Ordering::Acquire) {
+            // A connection that cannot be made is no request: the aggregator may be ending.
+            let done = match guest {
+                Guest::Keeps => self.keep(&mut random),
+                Guest::Pipelines => self.several(&mut random, 2..=5, WAIT_MS),
+                Guest::Floods => self.several(&mut random, FLOOD..=FLOOD, WAIT_MS),
+                Guest::Hurries => {
+                    let wait = 5.0 + random.f64() * 50.0;
+                    self.several(&mut random, 1..=2, wait)
+                }
+                Guest::Dribbles => self.dribble(&mut random),
+                Guest::Stops => self.stop(&mut random),
+                Guest::Leaves => self.leave(&mut random),
+                Guest::Crowds => self.crowd(),
+                Guest::ReadsSlowly => self.read_slowly(&mut random),
+            };
+            let pause = if done.is_ok() { random.u64(20..300) } else { 100 };
+            thread::sleep(Duration::from_millis(pause));
+        }
+    }
+
+    fn connect(&self) -> io::Result<TcpStream> {
+        let stream = TcpStream::connect(self.to.1)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_secs(12)))?;
+        Ok(stream)
+    }
+
+    fn draw(&self, random: &mut fastrand::Rng) -> Query {
+        let shards = self.world.stores.len() as u32 * 2;
+        let no = self.world.guests.fetch_add(1, Ordering::Relaxed);
+        let query = clients::draw(random, no, shards, self.api);
+        Query { id: format!("g{}-{}", self.no, query.id), ..query }
+    }
+
+    /// Has the checker know of a query whose last byte is about to be written; says when that is.
+    fn announce(&self, query: &Query, wait: f64) -> f64 {
+        let now = self.world.clock.now();
+        let shards = query.parts.iter().map(|(shard, _)| *shard);
+        self.world.checker.asked(query.id.clone(), shards, CLASSES[query.class].safe);
+        self.world.checker.wrote(&query.id, now, wait);
+        now
+    }
+
+    /// Reads the answer to a query and has it judged; says whether the connection goes on.
+    fn hear(&self, read: &mut BufReader<&TcpStream>, query: &Query, asked: (f64, f64)) -> bool {
+        let came = clients::read_answer(read);
+        let broke = came.as_ref().err().map(|error| error.kind());
+        let (end, mut answer) = clients::settle((self.to.0, self.api), query, asked, came);
+        answer.at = self.world.clock.now();
+        if end == End::Lost {
+            if self.was_read(read.get_ref(), broke) {
+                self.world.checker.lost(&answer);
+            }
+            return false;
+        }
+        let seed = self.seed;
+        self.world.checker.answered(&answer, |part| stores::value(seed, part));
+        self.world.board.note(query, end, answer.at - answer.asked);
+        true
+    }
+
+    /// Whether a request that had no answer was read, or had none within all its time: a connection that ends over
+    /// unread bytes is reset, and its client asks again on another one.
+    fn was_read(&self, stream: &TcpStream, broke: Option<io::ErrorKind>) -> bool {
+        match broke {
+            Some(io::ErrorKind::UnexpectedEof) => {
+                let until = Instant::now() + RESET_WITHIN;
+                while Instant::now() < until {
+                    if !matches!(stream.take_error(), Ok(None)) {
+                        return false;
+                    }
+                    thread::sleep(Duration::from_millis(20));
+                }
+                true
+            }
+            Some(io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => true,
+            _ => false,
+        }
+    }
+
+    fn keep(&self, random: &mut fastrand::Rng) -> io::Result<()> {
+        let stream = self.connect()?;
+        let mut read = BufReader::new(&stream);
+        // It goes on until the aggregator ends the connection, also while that is ending itself.
+        while !self.world.over.load(Ordering::Acquire) {
+            let query = self.draw(random);
+            let text = clients::request(self.api, &query, WAIT_MS, "");
+            let asked = self.announce(&query, WAIT_MS);
+            (&stream).write_all(text.as_bytes())?;
+            if !self.hear(&mut read, &query, (asked, WAIT_MS)) {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(random.u64(..400)));
+        }
+        Ok(())
+    }
+
+    fn several(
+        &self,
+        random: &mut fastrand::Rng,
+        count: std::ops::RangeInclusive<usize>,
+        wait: f64,
+    ) -> io::Result<()> {
+        let stream = self.connect()?;
+        let queries: Vec<_> = (0..random.usize(count)).map(|_| self.draw(random)).collect();
+        let text: String = queries.iter().map(|query| clients::request(self.api, query, wait, "")).collect();
+        let asked: Vec<_> = queries.iter().map(|query| self.announce(query, wait)).collect();
+        (&stream).write_all(text.as_bytes())?;
+        let mut read = BufReader::new(&stream);
+        for (query, asked) in queries.iter().zip(asked) {
+            if !self.hear(&mut read, query, (asked, wait)) {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn dribble(&self, random: &mut fastrand::Rng) -> io::Result<()> {
+        let stream = self.connect()?;
+        let query = self.draw(random);
+        let text = clients::request(self.api, &query, WAIT_MS, "");
+        // All of it within the time that a first request has.
+        let pause = Duration::from_micros(1_000_000 / text.len() as u64);
+        let (last, first) = text.as_bytes().split_last().ok_or(io::ErrorKind::InvalidInput)?;
+        for byte in first {
+            (&stream).write_all(&[*byte])?;
+            thread::sleep(pause);
+        }
+        let asked = self.announce(&query, WAIT_MS);
+        (&stream).write_all(&[*last])?;
+        self.hear(&mut BufReader::new(&stream), &query, (asked, WAIT_MS));
+        Ok(())
+    }
+
+    fn stop(&self, random: &mut fastrand::Rng) -> io::Result<()> {
+        let began = Instant::now();
+        let stream = self.connect()?;
+        let query = self.draw(random);
+        let text = clients::request(self.api, &query, WAIT_MS, "");
+        (&stream).write_all(&text.as_bytes()[..random.usize(1..text.len() - 1)])?;
+        let came = clients::read_answer(&mut BufReader::new(&stream));
+        let late = began.elapsed() > OWED;
+        if late || came.is_ok_and(|(status, _)| status < 400) {
+            let took = began.elapsed().as_millis();
+            self.world.checker.breaks("owed", &format!("half of {} had its end after {took} ms", query.id));
+        }
+        Ok(())
+    }
+
+    fn leave(&self, random: &mut fastrand::Rng) -> io::Result<()> {
+        let stream = self.connect()?;
+        let query = self.draw(random);
+        let text = clients::request(self.api, &query, WAIT_MS, "");
+        self.announce(&query, WAIT_MS);
+        (&stream).write_all(text.as_bytes())?;
+        let stays = if random.bool() { 0 } else { random.u64(..300) };
+        thread::sleep(Duration::from_millis(stays));
+        drop(stream);
+        self.world.checker.left(&query.id, self.world.clock.now());
+        Ok(())
+    }
+
+    fn crowd(&self) -> io::Result<()> {
+        let held: Vec<_> = (0..CROWD).filter_map(|_| self.connect().ok()).collect();
+        thread::sleep(Duration::from_secs(2));
+        drop(held);
+        Ok(())
+    }
+
+    fn read_slowly(&self, random: &mut fastrand::Rng) -> io::Result<()> {
+        let stream = self.connect()?;
+        let query = self.draw(random);
+        let text = clients::request(self.api, &query, WAIT_MS, "Connection: close\r\n");
+        let asked = self.announce(&query, WAIT_MS);
+        (&stream).write_all(text.as_bytes())?;
+        let mut bytes = Vec::new();
+        let mut byte = [0];
+        while matches!((&stream).read(&mut byte), Ok(1)) {
+            bytes.push(byte[0]);
+            thread::sleep(Duration::from_micros(300));
+        }
+        let came = clients::read_answer(&mut bytes.as_slice());
+        let whole = came.is_ok();
+        let (end, answer) = clients::settle((self.to.0, self.api), &query, (asked, WAIT_MS), came);
+        if whole {
+            // Its own slowness is not held against the aggregator.
+            let seed = self.seed;
+            self.world.checker.answered(&answer, |part| stores::value(seed, part));
+            self.world.board.note(&query, end, 0.0);
+        } else if bytes.is_empty() && self.was_read(&stream, Some(io::ErrorKind::UnexpectedEof)) {
+            self.world.checker.lost(&answer);
+        }
+        Ok(())
+    }
+}
--- a/tests/sockets/endings.rs
+++ b/tests/sockets/endings.rs
@@ -124,3 +124,30 @@
         assert_eq!(aggregator.board.read(|state| state.parts.len()), 1, "{wire:?}");
     }
 }
+
+/// "Once its last byte is written to a connection that the aggregator's machine accepted, a request has been taken by the
+/// aggregator", and its time counts, also while there is no room to accept it.
+#[test]
+fn a_request_that_waited_to_be_accepted_tells_run_stores_no_more_than_its_client_has_left() {
+    const TIMEOUT_MS: u32 = 5000;
+    const SLACK_MS: u64 = 150;
+    for wire in WIRES {
+        // Most calls of accept fail, each for 50 ms.
+        let aggregator = Aggregator::failing(wire, 1, Some("seed=6 accept=ENFILE@85"), |_, _| {});
+        let mut longest = 0;
+        for no in 0..12 {
+            let mut client = aggregator.begin("run-lookup", &[no % 4], TIMEOUT_MS);
+            let written = Instant::now();
+            assert!(answer(&mut client).whole(), "{wire:?}");
+            let waited = written.elapsed().as_millis() as u64;
+            let told = aggregator.board.read(|state| *state.told_ms.last().unwrap());
+            // The answer came within a moment of its part.
+            assert!(
+                told + waited <= u64::from(TIMEOUT_MS) + SLACK_MS,
+                "{wire:?}: told {told} after {waited}"
+            );
+            longest = longest.max(waited);
+        }
+        assert!(longest > 2 * SLACK_MS, "{wire:?}: one of them waited, {longest} ms at the most");
+    }
+}
