Count the time of a request also while it waits to be accepted

Cause: a request's time began when its bytes were read, however long its connection had waited in the listener's queue, for room (Server::has_room) or behind an accept that failed (ACCEPT_PAUSE): it told run stores up to its whole X-Timeout. Ruled out: the front and the core, which count from the time that the connection gives.

Change: the server notes when the queue was seen empty last, which is whenever accept had to wait; what is there when a connection is accepted counts from then. That may be too early, which only shortens what is told. After an accept that lacks descriptors only a connection that has stood idle for 0.5 s makes room. In the lab a reset says that a request was not read, and is nobody's loss.

--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -57,6 +57,8 @@
     pub whole: bool,
     /// Whether it was answered.
     pub served: bool,
+    /// Whether there was none, as the connection was reset over the request: it was not read, and may be asked again.
+    pub unread: bool,
     /// The shards asked for, and those answered with their values.
     pub asked_for: Vec<(u32, f64)>,
     /// See `asked_for`.
--- a/crates/lab/src/check/tests.rs
+++ b/crates/lab/src/check/tests.rs
@@ -11,6 +11,7 @@
         refused: false,
         whole: true,
         served: true,
+        unread: false,
         asked_for: vec![(1, 0.5), (2, 0.5)],
         values: vec![(1, "v".into()), (2, "v".into())],
         least_share: 0.4,
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -171,6 +171,7 @@
         refused: false,
         whole: false,
         served: false,
+        unread: matches!(&came, Err(error) if error.kind() == io::ErrorKind::ConnectionReset),
         asked_for: query.parts.clone(),
         values: Vec::new(),
         least_share: class.least_share,
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -30,6 +30,8 @@
     requests: u64,
     /// When it was accepted.
     since: Instant,
+    /// A time before which it had not come: what is there as it is accepted may have waited since then.
+    came: Instant,
 }
 
 /// What a wait for a request brought.
@@ -58,9 +60,9 @@
 }
 
 impl<'s> Connection<'s> {
-    /// A connection of a server that was accepted just now.
-    pub fn new(server: &'s Server, stream: Stream) -> Self {
-        Connection { server, stream, inbox: Inbox::default(), requests: 0, since: Instant::now() }
+    /// A connection of a server that was accepted just now, and had not come before some time.
+    pub fn new(server: &'s Server, stream: Stream, came: Instant) -> Self {
+        Connection { server, stream, inbox: Inbox::default(), requests: 0, since: Instant::now(), came }
     }
 
     /// How many requests were taken up on it.
@@ -78,6 +80,7 @@
     /// # Errors
     /// If it breaks.
     pub async fn serve(&mut self) -> io::Result<Reason> {
+        self.read_what_waited().await;
         loop {
             let request = match self.next().await? {
                 Next::Request(request) => request,
@@ -138,20 +141,30 @@
         !self.inbox.is_empty()
     }
 
+    /// Reads what came while the connection waited to be accepted. Its time counts from when it can have come first: a
+    /// run store is told no more than its client has left.
+    async fn read_what_waited(&mut self) {
+        let mut bytes = [0; CHUNK];
+        if let Some(Ok(count @ 1..)) = future::poll_once(self.stream.read(&mut bytes)).await {
+            self.take_in(&bytes[..count], self.came);
+        }
+    }
+
     /// Reads what has come by now, and waits for nothing.
     async fn read_what_came(&mut self) {
         let mut bytes = [0; CHUNK];
         while !self.inbox.is_full() {
             match future::poll_once(self.stream.read(&mut bytes)).await {
-                Some(Ok(count)) if count > 0 => self.take_in(&bytes[..count]),
+                Some(Ok(count)) if count > 0 => self.take_in(&bytes[..count], Instant::now()),
                 _ => return,
             }
         }
     }
 
-    fn take_in(&mut self, bytes: &[u8]) {
+    /// Takes in bytes, of which the last came at some time.
+    fn take_in(&mut self, bytes: &[u8], at: Instant) {
         let handler = &self.server.handler;
-        self.inbox.push(bytes, Instant::now(), |request| handler.waits(request));
+        self.inbox.push(bytes, at, |request| handler.waits(request));
     }
 
     /// Answers what cannot be read, and ends the connection, as framing is lost.
@@ -182,7 +195,7 @@
             }
             let count = before(until, self.stream.read(&mut bytes)).await.unwrap_or(Ok(0))?;
             left = left.saturating_sub(count);
-            self.take_in(&bytes[..count]);
+            self.take_in(&bytes[..count], Instant::now());
             if count == 0 || left == 0 {
                 break;
             }
@@ -229,7 +242,7 @@
                 Err(Reason::TooSlow) => return Ok(Next::Bad(Bad::TooSlow)),
                 Ok(0) if self.inbox.is_inside() => return Ok(Next::End(Reason::Malformed)),
                 Ok(0) => return Ok(Next::End(Reason::PeerClosed)),
-                Ok(count) => self.take_in(&bytes[..count]),
+                Ok(count) => self.take_in(&bytes[..count], Instant::now()),
                 Err(reason) => return Ok(Next::End(reason)),
             }
         }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -107,6 +107,8 @@
     last: Cell<u64>,
     /// Whether nothing more is read, as the process is about to end.
     ending: Cell<bool>,
+    /// When the listener's queue was seen empty last: what waits there has come since.
+    queue_empty: Cell<Instant>,
     pub(super) door: Rc<Door>,
     /// Connections that stand idle, those that never asked first and then longest first.
     idle: RefCell<BTreeMap<(bool, u64), Idle>>,
@@ -132,6 +134,7 @@
             open: Cell::new(0),
             last: Cell::new(0),
             ending: Cell::new(false),
+            queue_empty: Cell::new(Instant::now()),
             door,
             idle: RefCell::default(),
             ended: async_channel::bounded(1),
@@ -187,7 +190,15 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             self.has_room().await;
-            self.take(listener.accept().await).await;
+            let came = match future::poll_once(listener.accept()).await {
+                Some(came) => came,
+                None => {
+                    let came = listener.accept().await;
+                    self.queue_empty.set(Instant::now());
+                    came
+                }
+            };
+            self.take(came).await;
         }
     }
 
@@ -222,7 +233,7 @@
                 match Fault::of(&error) {
                     // No descriptor is left: connections wait in the queue until one is.
                     Fault::Room => {
-                        self.close_longest_idle();
+                        self.close_longest_idle(FIRST_BYTE);
                         Timer::after(ACCEPT_PAUSE).await;
                     }
                     Fault::Machine => {
@@ -235,18 +246,20 @@
         }
     }
 
-    /// Makes room; says whether a connection stood idle.
+    /// Makes room; says whether a connection stood idle. One that never asked has to have stood for some time, unless
+    /// such are many.
     ///
     /// Silent connections by the hundred must not push out those of clients who ask, so that one which has long
     /// said nothing goes first, or any once they hold half of the room. But a new one is silent until its first
     /// request has come: where clients keep theirs, the longest kept makes room for it.
-    fn close_longest_idle(&self) -> bool {
+    fn close_longest_idle(&self, stood_for: Duration) -> bool {
         let mut idle = self.idle.borrow_mut();
         let silent = idle.range(..ASKED).next().map(|(key, (since, _))| (*key, since.elapsed()));
         let many = idle.range(..ASKED).count() > self.room.get() / 2;
         let kept = idle.range(ASKED..).next().map(|(key, _)| *key);
         let longest = match silent {
-            Some((key, stood)) if many || stood >= FIRST_BYTE || kept.is_none() => Some(key),
+            Some((key, stood)) if many || stood >= FIRST_BYTE => Some(key),
+            Some((key, stood)) if kept.is_none() && stood >= stood_for => Some(key),
             _ => kept,
         };
         let close = longest.and_then(|key| idle.remove(&key));
@@ -269,11 +282,12 @@
         // From its first write on: what the system holds back goes with a connection that is reset.
         let stream = Stream::from(stream);
         let _ = stream.set_nodelay();
-        let refused = self.open.get() >= self.room.get() && !self.close_longest_idle();
+        let refused = self.open.get() >= self.room.get() && !self.close_longest_idle(Duration::ZERO);
         self.open.set(self.open.get() + 1);
+        let came = self.queue_empty.get();
         let server = self.clone();
         let task = async move {
-            let mut connection = Connection::new(&server, stream);
+            let mut connection = Connection::new(&server, stream, came);
             let reason = match refused {
                 true => connection.refuse().await,
                 false => connection.serve().await.unwrap_or(Reason::Reset),
