Show a second copy after second copies were switched off by new settings

Cause: where copies are allowed the end of an attempt that is given up is told at once (Core::give_up); after Core::retune switches them off nothing remembers that such an attempt may still be out.

Measured: a third attempt goes out while the first, given up in silence, may still run.

--- a/tests/given_up.rs
+++ b/tests/given_up.rs
@@ -24,17 +24,21 @@
     finals: Vec<Verdict>,
 }
 
+/// Settings that allow second copies or not.
+fn info(copies: bool) -> Info {
+    let kind = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 1000.0, "deadline_ms": 4000.0, "repeat": repeat, "window_ms": 5000.0});
+    serde_json::from_value(json!({
+        "caps": {"max_attempts": 3, "max_retry_after_ms": 2000.0, "may_cancel": true, "parallel_tries": copies},
+        "domain": {"cells": 1, "width": 1, "shards": 9},
+        "request_classes": [kind("search", "read_like"), kind("entry", "non_idempotent")],
+        "tick_ms": 5.0,
+    }))
+    .unwrap()
+}
+
 impl Day {
     fn begin(copies: bool, class: &str, timeout: f64) -> Self {
-        let kind = |name: &str, repeat: &str| json!({"name": name, "aim_ms": 1000.0, "deadline_ms": 4000.0, "repeat": repeat, "window_ms": 5000.0});
-        let info: Info = serde_json::from_value(json!({
-            "caps": {"max_attempts": 3, "max_retry_after_ms": 2000.0, "may_cancel": true, "parallel_tries": copies},
-            "domain": {"cells": 1, "width": 1, "shards": 9},
-            "request_classes": [kind("search", "read_like"), kind("entry", "non_idempotent")],
-            "tick_ms": 5.0,
-        }))
-        .unwrap();
-        let mut core = Core::new(&info, 7).unwrap();
+        let mut core = Core::new(&info(copies), 7).unwrap();
         let line = |name: &str| fixture::listed(name, ReplicaState::Active, 0.0);
         core.take_news(News::Cached(vec![line("a"), line("b")]));
         core.step(0.0);
@@ -169,3 +173,15 @@
     }
     assert_eq!(Day::in_silence(true).given_up.len(), 1, "with second copies nothing is waited for");
 }
+
+/// New settings allow no second copies. What was given up before that may still be out, and nothing more is heard of it.
+#[test]
+fn second_copies_that_are_switched_off_stay_off_for_what_was_given_up_before() {
+    let mut day = Day::in_silence(true);
+    day.core.retune(&info(false)).unwrap();
+    day.end(day.sent[1], Outcome::Errored);
+    let again = day.pass(800.0);
+    assert!(again.is_empty(), "the first attempt may be out: {again:?}");
+    assert_eq!(day.core.take_in(day.now, fixture::ask("r2", "search", 1, 3000.0)).map(drop), Ok(()));
+    assert_eq!(day.pass(2.0 * STEP).len(), 1, "new queries are sent as ever");
+}
