Let no part go again that may be out once second copies are switched off

Cause: as shown before: the ends of attempts given up while copies were allowed are told without proof.

Change: Core::retune marks the parts that have been sent when it switches second copies off, and Core::send makes no further attempt of such a part.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -47,8 +47,16 @@
                 key: part.key,
             }));
             let (shard, weight) = (part.shard, part.weight);
-            let record =
-                Part { query: no, shard, weight, attempts: 0, out: 0, may_have_run: None, value: None };
+            let record = Part {
+                query: no,
+                shard,
+                weight,
+                attempts: 0,
+                out: 0,
+                unproved: false,
+                may_have_run: None,
+                value: None,
+            };
             self.ledger.parts.insert(part_id.clone(), record);
             self.ledger.open_parts += 1;
             parts.push(part_id);
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -44,6 +44,8 @@
     pub attempts: u32,
     /// Attempts that are still out.
     pub out: u32,
+    /// Whether an attempt of it may be out of which nothing more is heard: it was made while a part might be out twice.
+    pub unproved: bool,
     /// When the first attempt was sent that has ended and may have run.
     pub may_have_run: Option<Millis>,
     /// Its answer, once it is in.
@@ -161,6 +163,11 @@
         self.deadlines = Deadlines(deadlines.collect());
     }
 
+    /// Parts may be out twice no longer: those that have been sent may be out already, as far as can be proved.
+    pub(super) fn forbid_copies(&mut self) {
+        self.parts.values_mut().for_each(|part| part.unproved |= part.attempts > 0);
+    }
+
     /// A query's deadline is no later than this from now on.
     pub(super) fn end_query_by(&mut self, no: QueryNo, at: Millis) {
         if let Some(query) = self.queries.get_mut(&no).filter(|query| at < query.deadline) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -359,6 +359,9 @@
         for name in self.classes.names() {
             self.counters.classes.entry(name.clone()).or_default();
         }
+        if self.settings.parallel_tries && !settings.parallel_tries {
+            self.ledger.forbid_copies();
+        }
         self.tenants = info.names().tenants.into_iter().map(|(name, at)| (name.into(), at)).collect();
         self.settings = settings;
         self.info = info.clone();
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -11,7 +11,7 @@
         let attempt = Attempt(record.attempts);
         record.attempts += 1;
         // Guards the rule on second copies, whatever was asked for.
-        let copy = record.out > 0 && !self.settings.parallel_tries;
+        let copy = (record.out > 0 || record.unproved) && !self.settings.parallel_tries;
         record.out += 1;
         let (of, shard, ran) = (record.query, record.shard, record.may_have_run);
         let no = CallNo(self.ledger.number());
