Test stepped clocks, hold-ups, early ends, moves in a row and late readers at their limits

Change: six tests on both wires with real processes; the faults library can step the wall clock at a time.

--- a/crates/faults/src/calls.rs
+++ b/crates/faults/src/calls.rs
@@ -97,9 +97,20 @@
         next!(c"clock_gettime", unsafe extern "C" fn(libc::clockid_t, *mut timespec) -> c_int)(clock, time);
     if done == 0 && clock == libc::CLOCK_REALTIME {
         let time = &mut *time;
-        let nanos = time.tv_nsec + plan().wall_ms % 1000 * NANOS_PER_MS;
-        time.tv_sec += plan().wall_ms / 1000 + nanos.div_euclid(NANOS_PER_S);
+        let ahead = plan().wall_ahead(since_first_look());
+        let nanos = time.tv_nsec + ahead % 1000 * NANOS_PER_MS;
+        time.tv_sec += ahead / 1000 + nanos.div_euclid(NANOS_PER_S);
         time.tv_nsec = nanos.rem_euclid(NANOS_PER_S);
     }
     done
 }
+
+/// Milliseconds of monotonic time since this was asked first.
+fn since_first_look() -> i64 {
+    static FIRST: OnceLock<i64> = OnceLock::new();
+    let mut time = timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: the pointer is to a local, and this clock is not shifted.
+    unsafe { clock_gettime(libc::CLOCK_MONOTONIC, &mut time) };
+    let now = time.tv_sec * 1000 + time.tv_nsec / NANOS_PER_MS;
+    now - FIRST.get_or_init(|| now)
+}
--- a/crates/faults/src/plan.rs
+++ b/crates/faults/src/plan.rs
@@ -1,4 +1,5 @@
-//! What is to fail, read from one line: `seed=7 recv=EINTR@30 send=ENOBUFS@20 accept=ECONNABORTED@50 wall_ms=-5000`.
+//! What is to fail, read from one line: `seed=7 recv=EINTR@30 send=ENOBUFS@20 accept=ECONNABORTED@50 wall_ms=-5000
+//! wall_step=1500:3600000`.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -34,6 +35,8 @@
     pub accept: Option<Fault>,
     /// How far the wall clock is ahead, in milliseconds.
     pub wall_ms: i64,
+    /// So many milliseconds after the first look at a clock the wall clock is stepped by so many.
+    pub wall_step: Option<(i64, i64)>,
     chance: AtomicU64,
 }
 
@@ -46,6 +49,10 @@
             match name {
                 "seed" => plan.chance = AtomicU64::new(value.parse().ok()?),
                 "wall_ms" => plan.wall_ms = value.parse().ok()?,
+                "wall_step" => {
+                    let (after, by) = value.split_once(':')?;
+                    plan.wall_step = Some((after.parse().ok()?, by.parse().ok()?));
+                }
                 "recv" => plan.recv = Some(fault(value)?),
                 "send" => plan.send = Some(fault(value)?),
                 "accept" => plan.accept = Some(fault(value)?),
@@ -55,6 +62,11 @@
         Some(plan)
     }
 
+    /// How far the wall clock is ahead so long after the first look at a clock, in milliseconds.
+    pub fn wall_ahead(&self, since_ms: i64) -> i64 {
+        self.wall_ms + self.wall_step.filter(|(after, _)| since_ms >= *after).map_or(0, |(_, by)| by)
+    }
+
     /// The error with which the next call of a kind fails, if it does.
     pub fn strikes(&self, fault: Option<Fault>) -> Option<i32> {
         let fault = fault?;
--- a/crates/faults/src/plan/tests.rs
+++ b/crates/faults/src/plan/tests.rs
@@ -13,9 +13,17 @@
     assert_eq!(first, struck());
 }
 
+#[test]
+fn the_wall_clock_is_stepped_at_its_time() {
+    let plan = Plan::read("wall_ms=7 wall_step=1500:-3600000").unwrap();
+    assert_eq!((plan.wall_ahead(1499), plan.wall_ahead(1500)), (7, 7 - 3_600_000));
+}
+
 #[test]
 fn what_is_not_understood_is_no_plan() {
-    for text in ["recv", "recv=EWHAT@3", "recv=EINTR", "recv=EINTR@101", "sleep=EINTR@3", "wall_ms=x"] {
+    for text in
+        ["recv", "recv=EWHAT@3", "recv=EINTR", "recv=EINTR@101", "sleep=EINTR@3", "wall_step=3", "wall_ms=x"]
+    {
         assert!(Plan::read(text).is_none(), "{text}");
     }
     assert_eq!(
--- a/tests/sockets/endings.rs
+++ b/tests/sockets/endings.rs
@@ -151,3 +151,35 @@
         assert!(longest > 2 * SLACK_MS, "{wire:?}: one of them waited, {longest} ms at the most");
     }
 }
+
+/// A client that reads its last answer only once the process is gone finds it whole.
+#[test]
+fn an_answer_that_is_read_after_the_process_has_ended_is_there() {
+    for wire in WIRES {
+        let mut aggregator = Aggregator::start(wire, 1);
+        let mut client = aggregator.begin("run-lookup", &[0, 1, 2, 3], 9000);
+        aggregator.board.wait("the parts", |state| state.parts.len() == 4);
+        aggregator.signal("TERM");
+        assert_eq!(aggregator.wait().code(), Some(0), "{wire:?}");
+        assert!(answer(&mut client).whole(), "{wire:?}");
+        assert_eq!(client.read(&mut [0]).unwrap(), 0, "{wire:?}");
+    }
+}
+
+/// A client that does not read what it is owed holds up nothing but its own connection, which ends in time and in a way
+/// that tells the client that it has not all.
+#[test]
+fn a_client_that_never_reads_its_answers_holds_up_no_other() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        let mut lazy = aggregator.connect();
+        lazy.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
+        // Answers fill what the system holds for it, as it never reads.
+        let request = b"GET /counters HTTP/1.1\r\n\r\n".repeat(2000);
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_secs(20) && lazy.write(&request).is_ok() {}
+        assert!(aggregator.ask("run-lookup", &[0], 2000).whole(), "{wire:?}");
+        let ended = aggregator.logged("code=too_slow");
+        assert!(ended.contains("end client"), "{wire:?}: {ended}");
+    }
+}
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -2,12 +2,12 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::json;
 
 use crate::aggregator::{answer, line, Aggregator};
-use crate::stand_in::{self, Wire, WIRES};
+use crate::stand_in::{self, Act, Wire, WIRES};
 
 const HOUR_MS: i64 = 3_600_000;
 
@@ -128,3 +128,55 @@
         assert!(ejected.contains("aggregator.pool_ejected:0|g"), "{wire:?}: {ejected}");
     }
 }
+
+/// The wall clock is stepped by an hour while a query waits: "deadlines, windows, waits and graces are spans of monotonic
+/// time", and a run store that starts behind the step states its start by the stepped clock.
+#[test]
+fn a_wall_clock_that_is_stepped_in_the_middle_moves_nothing() {
+    const TIMEOUT: Duration = Duration::from_millis(2500);
+    const STEP_AFTER_MS: i64 = 2000;
+    for (wire, step_ms) in WIRES.into_iter().flat_map(|wire| [-HOUR_MS, HOUR_MS].map(|ms| (wire, ms))) {
+        let aggregator =
+            before_a_cold_start(wire, 1, Some(&format!("seed=7 wall_step={STEP_AFTER_MS}:{step_ms}")));
+        aggregator.board.act(0, Act::Silent);
+        let asked = Instant::now();
+        let waiting = aggregator.ask("shift-entry", &[0], TIMEOUT.as_millis() as u32);
+        let took = asked.elapsed();
+        assert_eq!(waiting.status, 500, "{wire:?} {step_ms}: {waiting:?}");
+        assert!(
+            took > TIMEOUT / 2 && took < TIMEOUT + Duration::from_millis(500),
+            "{wire:?} {step_ms}: {took:?}"
+        );
+        aggregator.board.act(0, Act::Serve);
+        let cold = stand_in::run_store(&aggregator.board, wire, 1);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
+        aggregator.board.tell(json!([line(1, cold, "ready", (now + step_ms) as u64)]));
+        bears_a_burst(&aggregator, &format!("stepped by {step_ms} ms"));
+    }
+}
+
+/// The process is held up for 0.15 s again and again: what it tells run stores is at most what is left to the client, with
+/// that much of slack.
+#[test]
+fn a_process_that_is_held_up_tells_no_more_than_is_left_with_its_slack() {
+    const TIMEOUT_MS: u32 = 1000;
+    const HELD_UP: Duration = Duration::from_millis(150);
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 2);
+        for no in 0..10 {
+            let written = Instant::now();
+            let mut client = aggregator.begin("run-lookup", &[no % 4], TIMEOUT_MS);
+            aggregator.signal("STOP");
+            std::thread::sleep(HELD_UP);
+            aggregator.signal("CONT");
+            assert!(answer(&mut client).whole(), "{wire:?}");
+            let (told, at) = aggregator
+                .board
+                .read(|state| (*state.told_ms.last().unwrap(), *state.arrived_at.last().unwrap()));
+            let waited = at.duration_since(written).as_millis() as u64;
+            // The signals themselves take a moment.
+            let slack = HELD_UP.as_millis() as u64 + 50;
+            assert!(told + waited <= u64::from(TIMEOUT_MS) + slack, "{wire:?}: told {told} after {waited}");
+        }
+    }
+}
--- a/tests/sockets/narrow.rs
+++ b/tests/sockets/narrow.rs
@@ -1,13 +1,14 @@
 //! The narrow moments: departures, floods, the end of a process, and a discovery that is down.
 
 use std::io::{Read, Write};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
 
 use crate::aggregator::{answer, line, Aggregator};
 use crate::calls::asks_health;
-use crate::stand_in::{Act, Wire, WIRES};
+use crate::stand_in::{self, Act, Board, Wire, WIRES};
 
 /// How long the platform waits after SIGTERM before it kills, for classes with deadlines over 3 s.
 const KILLED_AFTER: Duration = Duration::from_millis(3700);
@@ -208,3 +209,45 @@
         assert_eq!(aggregator.board.read(|state| state.parts.clone()), [(0, 1)], "{wire:?}");
     }
 }
+
+/// SIGTERM comes as soon as the process serves: what it has taken is answered, and what comes for a moment as well.
+#[test]
+fn a_process_that_is_told_to_end_in_its_first_moments_answers_what_it_takes() {
+    on_both(|wire| {
+        let mut aggregator = Aggregator::start(wire, 1);
+        let mut first = aggregator.begin("run-lookup", &[0], 9000);
+        aggregator.signal("TERM");
+        let mut second = aggregator.begin("run-lookup", &[1], 9000);
+        assert!(answer(&mut first).whole() && answer(&mut second).whole(), "{wire:?}");
+        assert_eq!(aggregator.wait().code(), Some(0), "{wire:?}");
+    });
+}
+
+/// Three new configurations in quick succession, each naming another discovery, of which the first two say nothing: after
+/// SIGHUP a change counts 4 s later.
+#[test]
+fn the_last_of_several_new_configurations_counts_in_time() {
+    on_both(|wire| {
+        let aggregator = Aggregator::start(wire, 2);
+        let silent: Vec<_> = (0..2).map(|_| stand_in::socket()).collect();
+        let last = Arc::new(Board::default());
+        last.list(json!([
+            line(0, aggregator.stores[0], "draining", 0),
+            line(1, aggregator.stores[1], "ready", 0)
+        ]));
+        let addresses: Vec<_> = silent.iter().map(|socket| socket.local_addr().unwrap()).collect();
+        for address in addresses.into_iter().chain([stand_in::discovery(&last)]) {
+            aggregator
+                .reload(&aggregator.configuration(|config| config["discovery"] = json!(address.to_string())));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        let begun = Instant::now();
+        last.wait("the call", |state| state.calls > 1);
+        assert!(begun.elapsed() < Duration::from_millis(4000), "{wire:?}: {:?}", begun.elapsed());
+        for shard in 0..4 {
+            assert!(aggregator.ask("run-lookup", &[shard], 9000).whole(), "{wire:?}");
+        }
+        let used = aggregator.board.read(|state| state.parts.iter().map(|part| part.0).collect::<Vec<_>>());
+        assert_eq!(used, [1; 4], "{wire:?}: what the last one tells counts");
+    });
+}
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
@@ -74,6 +74,8 @@
     pub parts: Vec<(usize, u32)>,
     /// The time that each of these was told it has, in milliseconds.
     pub told_ms: Vec<u64>,
+    /// When each of these arrived.
+    pub arrived_at: Vec<Instant>,
     /// The key of each of these, where it carried one.
     pub keys: Vec<Option<String>>,
     /// Run stores at which a part was given up.
@@ -165,6 +167,7 @@
             state.copies += state.held.iter().filter(|held| held.1 == shard).count();
             state.parts.push((store, shard));
             state.told_ms.push(told_ms);
+            state.arrived_at.push(Instant::now());
             state.keys.push(key.map(str::to_string));
             act = match state.acts.get(&store).copied().unwrap_or(Act::Serve) {
                 Act::Half if shard % 2 == 1 => Act::Silent,
