Show half a request behind another that has its error seconds too late

Cause: Connection::next counts the time of a request that has begun from when it is its turn, not from its first byte.

Measured: 408 after 4.7 s where 3 s are owed.

--- a/tests/sockets/endings.rs
+++ b/tests/sockets/endings.rs
@@ -183,3 +183,23 @@
         assert!(ended.contains("end client"), "{wire:?}: {ended}");
     }
 }
+
+/// "Clients that stop in the middle of a request and stay: they get their error or close within the 3 s that bad clients
+/// are owed", also where they have stopped behind a request that takes longer.
+#[test]
+fn half_a_request_behind_another_has_its_own_time() {
+    const OWED: Duration = Duration::from_millis(3000);
+    const FIRST: Duration = Duration::from_millis(2500);
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Silent);
+        let mut client = aggregator.connect();
+        let whole = aggregator.query("", "shift-entry", &[0], FIRST.as_millis() as u32);
+        let half = aggregator.query("", "run-lookup", &[1], 9000);
+        let stopped = Instant::now();
+        client.write_all((whole + &half[..half.len() / 2]).as_bytes()).unwrap();
+        assert_eq!(answer(&mut client).status, 500, "{wire:?}");
+        assert_eq!(answer(&mut client).status, 408, "{wire:?}");
+        assert!(stopped.elapsed() < OWED, "{wire:?}: {:?}", stopped.elapsed());
+    }
+}
