Count the time of half a request from its first byte, also behind another

Cause: as shown before: Connection::next took the moment at which a request's turn came for its first byte.

Change: the inbox notes when a request began to come that is not whole.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -216,7 +216,6 @@
     }
 
     async fn next(&mut self) -> io::Result<Next> {
-        let mut begun: Option<Instant> = None;
         let mut continued = false;
         let mut bytes = [0; CHUNK];
         loop {
@@ -229,9 +228,8 @@
                 continued = true;
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
             }
-            let read = if self.inbox.is_inside() {
-                let first = self.requests == 0;
-                let begun = *begun.get_or_insert_with(|| if first { self.since } else { Instant::now() });
+            let read = if let Some(begun) = self.inbox.begun() {
+                let begun = if self.requests == 0 { self.since } else { begun };
                 let limit = begun + self.server.limits.request;
                 let read = before(limit, self.stream.read(&mut bytes)).await;
                 read.map_or(Ok(Err(Reason::TooSlow)), |read| read.map(Ok))?
--- a/src/http/inbox.rs
+++ b/src/http/inbox.rs
@@ -33,6 +33,8 @@
 pub struct Inbox {
     parser: Parser,
     whole: VecDeque<Arrived>,
+    /// When the first byte came of the request that is not whole.
+    begun: Option<Instant>,
     /// Why nothing more can be read behind the whole ones.
     bad: Option<Bad>,
     /// Bytes that came after that.
@@ -41,7 +43,13 @@
 
 impl Default for Inbox {
     fn default() -> Self {
-        Inbox { parser: Parser::new(Kind::Request), whole: VecDeque::new(), bad: None, unreadable: 0 }
+        Inbox {
+            parser: Parser::new(Kind::Request),
+            whole: VecDeque::new(),
+            begun: None,
+            bad: None,
+            unreadable: 0,
+        }
     }
 }
 
@@ -58,8 +66,14 @@
                 Ok(Some(message)) => {
                     let due = waits(&message).and_then(|wait| now.checked_add(wait));
                     self.whole.push_back(Arrived { message, at: now, due });
+                    self.begun = None;
+                }
+                Ok(None) => {
+                    if self.parser.is_inside() {
+                        self.begun.get_or_insert(now);
+                    }
+                    return;
                 }
-                Ok(None) => return,
                 Err(bad) => {
                     self.bad = Some(bad);
                     return;
@@ -90,9 +104,14 @@
         !self.whole.is_empty() || self.bad.is_some()
     }
 
+    /// When a request began to come that is not whole, if there is one.
+    pub fn begun(&self) -> Option<Instant> {
+        self.begun
+    }
+
     /// Whether a request has begun to come and is not whole.
     pub fn is_inside(&self) -> bool {
-        self.parser.is_inside()
+        self.begun.is_some()
     }
 
     /// Whether nothing was read that is not answered.
