Let the end of a flood hold one buffer at a time

Cause: turn_down_flood kept a buffer of 8 KiB over the end of the connection, which reads with its own; each connection's task has room for both.

Change: reading is a step of its own.

Measured: not the memory; the tests of connections pass.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -161,6 +161,14 @@
         }
     }
 
+    /// Reads what comes before some time; says how much.
+    async fn read_before(&mut self, until: Instant) -> io::Result<usize> {
+        let mut bytes = [0; CHUNK];
+        let count = before(until, self.stream.read(&mut bytes)).await.unwrap_or(Ok(0))?;
+        self.take_in(&bytes[..count], Instant::now());
+        Ok(count)
+    }
+
     /// Takes in bytes, of which the last came at some time.
     fn take_in(&mut self, bytes: &[u8], at: Instant) {
         let handler = &self.server.handler;
@@ -182,7 +190,6 @@
         self.write(&response.bytes(true, true)).await?;
         let until = Instant::now() + LINGER;
         let mut left = MOST_LINGER;
-        let mut bytes = [0; CHUNK];
         loop {
             loop {
                 match self.inbox.next_request() {
@@ -193,9 +200,8 @@
                     Err(bad) => return self.turn_down(bad).await,
                 }
             }
-            let count = before(until, self.stream.read(&mut bytes)).await.unwrap_or(Ok(0))?;
+            let count = self.read_before(until).await?;
             left = left.saturating_sub(count);
-            self.take_in(&bytes[..count], Instant::now());
             if count == 0 || left == 0 {
                 break;
             }
