Place late news of starts by what is known of the clock

Cause: after a long outage of discovery each start that is news seems older than it takes to get warm, and was placed at now (src/starts.rs): run stores that are warm would be held to be cold for as long again.

Change: a start that is told within the time to get warm, also in the list at the beginning, bounds how far the clock may be ahead, since none is told before it was; later news of older starts are placed by that bound, and at now only while there is none. A step of the wall clock that is seen undoes it.

--- a/src/starts.rs
+++ b/src/starts.rs
@@ -38,9 +38,9 @@
     known: BTreeMap<ReplicaId, Start>,
     /// How far the wall clock was ahead of the process's, at each step the last time, oldest first.
     ahead: Vec<Millis>,
-    /// The shortest time in which news of a start has come. That much of each such time is not sure to have passed: the
-    /// clocks may differ by it.
-    least_lag: Option<Millis>,
+    /// The most by which the clock may be ahead of the run stores', once that is known: no start is told before it was,
+    /// so that it is ahead by no more than the least time that seems to have passed since any.
+    most_ahead: Option<Millis>,
 }
 
 impl Starts {
@@ -53,10 +53,11 @@
             self.ahead.remove(0);
         }
         self.ahead.push(ahead);
+        self.most_ahead = None;
     }
 
-    /// Places the start that a line states. What is told as news and would be warm already, which takes `warm_within`,
-    /// cannot be placed.
+    /// Places the start that a line states. A start within `warm_within`, in which a run store gets warm, tells how far the
+    /// clock may be ahead; while none has, news of an older one cannot be placed.
     pub fn place(
         &mut self,
         id: &ReplicaId,
@@ -72,15 +73,13 @@
         if let Some(start) = self.known.get(id).filter(|start| start.stated == stated) {
             return Some(start.placed);
         }
-        let placed = match (self.latest_before(stated, now), told) {
-            (None, _) => now,
-            (Some(at), Told::AtFirst) => at,
-            (Some(at), Told::Since) if now - at >= warm_within => now,
-            (Some(at), Told::Since) => {
-                let least = self.least_lag.map_or(now - at, |least| least.min(now - at));
-                self.least_lag = Some(least);
-                at + least
-            }
+        let at = self.latest_before(stated, now).unwrap_or(now);
+        if now - at < warm_within {
+            self.most_ahead = Some(self.most_ahead.map_or(now - at, |most| most.min(now - at)));
+        }
+        let placed = match told {
+            Told::AtFirst => at,
+            Told::Since => self.most_ahead.map_or(now, |most| (at + most).min(now)),
         };
         self.known.insert(id.clone(), Start { stated, placed });
         Some(placed)
--- a/src/starts/tests.rs
+++ b/src/starts/tests.rs
@@ -39,10 +39,21 @@
         // Told again, with another state.
         assert_eq!(news(&mut starts, "before", NOW - 2000.0, later), before);
         let placed = news(&mut starts, "behind", later - 4000.0 + step, later);
-        assert_eq!(later - placed, 2000.0, "step {step}");
+        assert_eq!(later - placed, 0.0, "step {step}: what was known of the clock is so no longer");
     }
 }
 
+#[test]
+fn news_that_come_long_after_a_start_are_placed_once_the_clock_is_known() {
+    let mut starts = Starts::default();
+    assert_eq!(news(&mut starts, "unknown", NOW - 60_000.0, NOW), NOW, "the clock may be ahead by a minute");
+    news(&mut starts, "soon", NOW - 2000.0, NOW);
+    // Discovery was out of reach for a while.
+    assert_eq!(news(&mut starts, "late", NOW - 60_000.0, NOW), NOW - 58_000.0);
+    starts.note_wall_clock(HOUR);
+    assert_eq!(news(&mut starts, "behind a step", NOW - 60_000.0, NOW), NOW);
+}
+
 #[test]
 fn what_a_process_begins_with_is_as_old_as_stated() {
     let mut starts = Starts::default();
