Bound the pace of warming, and trust a clock that news have shown to be right

Cause: an infinite pace, as shown before.

Change: the pace ends at 1000. A start within the time to get warm shows the clock to be right; from then on starts stay where they are stated.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -17,6 +17,8 @@
 /// Share of the most that a cold replica bears which is aimed at: the rest is for chance.
 const AIMED: f64 = 0.5;
 
+/// The most times sooner that any report can tell: one of a replica that has hardly begun tells next to nothing.
+const MOST_PACE: f64 = 1000.0;
 /// Queries of a router for which it keeps a call that it may send to a cold replica.
 const KEPT_FOR: f64 = 2.0;
 
@@ -58,7 +60,8 @@
         self.rate = if *tell > 0 { served.value() / 1000.0 * *all as f64 / *tell as f64 } else { 0.0 };
         let busy = warm.busy.value();
         self.capacity = if busy > 0.0 { Some(warm.served.value() / 1000.0 / busy) } else { self.capacity };
-        self.pace = self.capacity.map_or(1.0, |capacity| cold.pace(rule.from, capacity)).max(1.0);
+        self.pace =
+            self.capacity.map_or(1.0, |capacity| cold.pace(rule.from, capacity)).clamp(1.0, MOST_PACE);
     }
 
     /// A query of so many parts came in; each new one counts for one in so many of the mean.
--- a/src/starts.rs
+++ b/src/starts.rs
@@ -2,8 +2,8 @@
 //!
 //! Lists state starts as Unix times of the machines' wall clock. The process's clock begins at that too and then only
 //! runs forward, so that the two part once the wall clock is stepped. A start that is told as news lies in the past and
-//! not long ago, whatever a wall clock says; where it cannot be placed, it is taken to be now: a run store is never held
-//! to be warmer than it is.
+//! not long ago, whatever a wall clock says; where it cannot be placed, it is taken to be now, and what the run
+//! store reports meanwhile tells nothing of how others get warm.
 
 use std::collections::BTreeMap;
 
@@ -21,6 +21,8 @@
 struct Start {
     stated: Millis,
     placed: Millis,
+    /// Until when it is not known how warm the run store is, as its start could not be placed.
+    unsure_until: Millis,
 }
 
 /// How a start came to be known.
@@ -38,9 +40,9 @@
     known: BTreeMap<ReplicaId, Start>,
     /// How far the wall clock was ahead of the process's, at each step the last time, oldest first.
     ahead: Vec<Millis>,
-    /// The most by which the clock may be ahead of the run stores', once that is known: no start is told before it was,
-    /// so that it is ahead by no more than the least time that seems to have passed since any.
-    most_ahead: Option<Millis>,
+    /// Whether the clock is known not to be far ahead of the run stores': no start is told before it was, so that it is
+    /// ahead by no more than the time that seems to have passed since any.
+    is_known: bool,
 }
 
 impl Starts {
@@ -53,11 +55,11 @@
             self.ahead.remove(0);
         }
         self.ahead.push(ahead);
-        self.most_ahead = None;
+        self.is_known = false;
     }
 
-    /// Places the start that a line states. A start within `warm_within`, in which a run store gets warm, tells how far the
-    /// clock may be ahead; while none has, news of an older one cannot be placed.
+    /// Places the start that a line states. A start within `warm_within`, in which a run store gets warm, tells that the
+    /// clock is right, but for less than that; while none has, news of an older one cannot be placed.
     pub fn place(
         &mut self,
         id: &ReplicaId,
@@ -74,15 +76,19 @@
             return Some(start.placed);
         }
         let at = self.latest_before(stated, now).unwrap_or(now);
-        if now - at < warm_within {
-            self.most_ahead = Some(self.most_ahead.map_or(now - at, |most| most.min(now - at)));
-        }
-        let placed = match told {
-            Told::AtFirst => at,
-            Told::Since => self.most_ahead.map_or(now, |most| (at + most).min(now)),
+        self.is_known |= now - at < warm_within;
+        let unsure = told == Told::Since && !self.is_known;
+        let start = match unsure {
+            true => Start { stated, placed: now, unsure_until: now + warm_within },
+            false => Start { stated, placed: at, unsure_until: now },
         };
-        self.known.insert(id.clone(), Start { stated, placed });
-        Some(placed)
+        self.known.insert(id.clone(), start);
+        Some(start.placed)
+    }
+
+    /// Whether it is known at some time how warm a run store is, so that its reports tell how others get warm.
+    pub fn is_sure(&self, id: &ReplicaId, now: Millis) -> bool {
+        self.known.get(id).is_none_or(|start| now >= start.unsure_until)
     }
 
     /// The start as the list states it.
