Show a slow discovery that is never heard after a new configuration

Cause: a call for the whole list (Watch::call without a version) is given up after 2 s (asking.rs: CALL) and made again, so that a discovery that needs 2.5 s for each answer is never heard, though it can be reached; drains that it tells are not kept. Ruled out: watches from a version, which are waited for 3.75 s.

--- a/tests/sockets/endings.rs
+++ b/tests/sockets/endings.rs
@@ -203,3 +203,26 @@
         assert!(stopped.elapsed() < OWED, "{wire:?}: {:?}", stopped.elapsed());
     }
 }
+
+/// Very little time, and none: a final answer no later than half a second after it, and where it is over at once nothing is
+/// sent.
+#[test]
+fn a_request_with_next_to_no_time_has_its_answer_and_none_is_sent_without_any() {
+    const LATEST_MS: u128 = 500;
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.board.act(0, Act::Silent);
+        for timeout_ms in [0, 1, 5, 20, 50] {
+            let sent = aggregator.board.read(|state| state.parts.len());
+            let asked = Instant::now();
+            let answer = aggregator.ask("run-lookup", &[0], timeout_ms);
+            let took = asked.elapsed().as_millis();
+            assert!(answer.status >= 429, "{wire:?} {timeout_ms}: {answer:?}");
+            assert!(took <= u128::from(timeout_ms) + LATEST_MS, "{wire:?} {timeout_ms}: {took}");
+            let sent = aggregator.board.read(|state| state.parts.len()) - sent;
+            assert!(timeout_ms > 0 || (sent == 0 && answer.refused()), "{wire:?}: {sent}, {answer:?}");
+        }
+        let told = aggregator.board.read(|state| state.told_ms.clone());
+        assert!(told.iter().all(|told| *told <= 50), "{wire:?}: {told:?}");
+    }
+}
--- a/tests/sockets/narrow.rs
+++ b/tests/sockets/narrow.rs
@@ -251,3 +251,28 @@
         assert_eq!(used, [1; 4], "{wire:?}: what the last one tells counts");
     });
 }
+
+/// A new discovery takes 2.5 s for each answer, and can be reached all the time: what it has counts as told 6 s after.
+#[test]
+fn a_discovery_that_is_slow_tells_in_time_after_a_new_configuration() {
+    on_both(|wire| {
+        let aggregator = Aggregator::start(wire, 2);
+        let slow = Arc::new(Board::default());
+        slow.change(|state| state.slow = Duration::from_millis(2500));
+        slow.list(json!([
+            line(0, aggregator.stores[0], "draining", 0),
+            line(1, aggregator.stores[1], "ready", 0)
+        ]));
+        let address = stand_in::discovery(&slow).to_string();
+        let begun = Instant::now();
+        aggregator.reload(&aggregator.configuration(|config| config["discovery"] = json!(address)));
+        // It asks on from the version that it was told.
+        slow.wait("the watch", |state| !state.waits.is_empty());
+        assert!(begun.elapsed() < Duration::from_millis(6000), "{wire:?}: {:?}", begun.elapsed());
+        for shard in 0..4 {
+            assert!(aggregator.ask("run-lookup", &[shard], 9000).whole(), "{wire:?}");
+        }
+        let used = aggregator.board.read(|state| state.parts.iter().map(|part| part.0).collect::<Vec<_>>());
+        assert_eq!(used, [1; 4], "{wire:?}: what it told counts");
+    });
+}
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -94,6 +94,8 @@
     pub looks: usize,
     /// Whether discovery takes calls and answers none.
     pub hangs: bool,
+    /// How long each answer of discovery takes beside its wait.
+    pub slow: Duration,
     /// How long each call to discovery that names a version is to wait for news, in milliseconds.
     pub waits: Vec<usize>,
     /// Calls to discovery.
@@ -434,7 +436,9 @@
             let whole = !first.contains("after=") && !state.lists.is_empty();
             let body =
                 json!({"index": state.lists.len().max(after), "snapshot": whole, "endpoints": changes});
+            let slow = state.slow;
             drop(state);
+            thread::sleep(slow);
             if respond(&mut stream, "200 OK", &body.to_string()).is_err() {
                 return;
             }
