Ask a slow discovery once more for the whole list, and go on waiting for the first answer

Cause: as shown before: the call for the whole list was given up after 2 s, however slow the service was.

Change: Watch::call makes it once more after 2 s on another connection, and whichever answer comes first within 4 s counts; the sum of 6 s stands, as what hangs is replaced 2 s after it began. Rejected: a longer limit alone, as a call that hangs would then keep the next one past 6 s.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -18,7 +18,8 @@
 /// come: whatever becomes of calls and watches, the next list is here by then.
 pub const TOLD_WITHIN: Millis = 6000.0;
 /// How long a call may take that does not wait for news, from its connecting on. The service works through calls in
-/// turn, and fails itself what has waited for so long.
+/// turn, and fails itself what has waited for so long. One for the whole list is then made once more, on another
+/// connection, while the first goes on for as long again: a service may be slow.
 pub const CALL: Millis = 2000.0;
 /// The longest pause after a call that failed: one may have begun just before the service could be reached again, and
 /// one more has to be over in time after it.
--- a/src/directory/watch.rs
+++ b/src/directory/watch.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use futures_lite::future;
 
 use super::{Reload, Target};
@@ -16,6 +17,7 @@
 use crate::core::News;
 use crate::directory::list::{List, MOST_BYTES};
 use crate::http::client::{within, Client};
+use crate::http::parse::Message;
 use crate::http::write;
 use crate::log::{self, Reason};
 
@@ -96,31 +98,19 @@
 
     async fn call(&self, address: SocketAddr, client: &mut Option<Client>) -> io::Result<List> {
         self.silent.set(false);
-        let begun = Instant::now();
-        let mut open = match client.take() {
-            Some(open) => open,
-            None => Client::connect(address, CONNECT, MOST_BYTES).await?,
-        };
+        let open = client.take();
         // One call both tells what changed and begins the watch: a first one that only asks would be a second
-        // call of each aggregator just when all start. What connecting took is taken off the wait, so that the call
-        // is over when one on a kept connection would be.
-        let (target, limit) = match self.index.get() {
-            None => ("/v1/servers".to_string(), ms(CALL)),
+        // call of each aggregator just when all start.
+        let answer = match self.index.get() {
+            None => whole_list(address, open).await,
             Some(index) => {
-                let wait = (ms(WAIT).saturating_sub(begun.elapsed())).as_millis();
-                (format!("/v1/servers?after={index}&wait_ms={wait}"), ms(WAIT + SILENT_AFTER))
+                let changes = within(ms(WAIT + SILENT_AFTER), changes(address, open, index)).await;
+                let unanswered = changes.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::TimedOut);
+                self.silent.set(unanswered);
+                changes
             }
         };
-        let limit = limit.saturating_sub(begun.elapsed());
-        let request = write::request("GET", &target, &address.to_string(), &[], &[]);
-        let call = async {
-            open.write(&request).await?;
-            open.read().await
-        };
-        let answer = within(limit, call).await;
-        let unanswered = answer.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::TimedOut);
-        self.silent.set(unanswered && self.index.get().is_some());
-        let answer = answer?;
+        let (open, answer) = answer?;
         if answer.start.1 != "200" {
             return Err(io::Error::other(format!("status {}", answer.start.1)));
         }
@@ -135,6 +125,46 @@
     }
 }
 
+/// An answer, and the connection that it came on.
+type Answered = (Client, Message);
+
+/// Asks for what has changed since a version, once something has. What connecting takes is taken off the wait, so that the
+/// call is over when one on a kept connection would be.
+async fn changes(address: SocketAddr, open: Option<Client>, index: u64) -> io::Result<Answered> {
+    let begun = Instant::now();
+    let open = connected(address, open).await?;
+    let wait = ms(WAIT).saturating_sub(begun.elapsed()).as_millis();
+    ask(address, open, &format!("/v1/servers?after={index}&wait_ms={wait}")).await
+}
+
+/// Asks for the whole list. One call that is not answered in its time may hang for good, or the service may be slow: it is
+/// asked once more, on another connection, and whichever answer comes first counts.
+async fn whole_list(address: SocketAddr, open: Option<Client>) -> io::Result<Answered> {
+    let call = |open| async move { ask(address, connected(address, open).await?, "/v1/servers").await };
+    let again = async {
+        Timer::after(ms(CALL)).await;
+        match call(None).await {
+            Ok(answered) => Ok(answered),
+            // The first one may still be answered.
+            Err(_) => future::pending().await,
+        }
+    };
+    within(ms(CALL + CALL), future::or(call(open), again)).await
+}
+
+async fn connected(address: SocketAddr, open: Option<Client>) -> io::Result<Client> {
+    match open {
+        Some(open) => Ok(open),
+        None => Client::connect(address, CONNECT, MOST_BYTES).await,
+    }
+}
+
+async fn ask(address: SocketAddr, mut open: Client, target: &str) -> io::Result<Answered> {
+    open.write(&write::request("GET", target, &address.to_string(), &[], &[])).await?;
+    let answer = open.read().await?;
+    Ok((open, answer))
+}
+
 fn ms(span: Millis) -> Duration {
     Duration::from_secs_f64(span / 1000.0)
 }
