--- a/crates/lab/src/aggregators.rs
+++ b/crates/lab/src/aggregators.rs
@@ -1,14 +1,18 @@
 //! Aggregators: real processes of the program, on loopback.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{self, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
 use serde_json::Value;
 
 use crate::stores::read_message;
@@ -33,6 +37,33 @@
     cpu_ms: f64,
 }
 
+/// The processes that were started here, by id, so that they can be ended by it.
+static STARTED: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+/// From now on a signal that ends this process ends all aggregators that it has started with it.
+///
+/// # Errors
+/// If signals cannot be caught.
+pub fn end_with_this_process() -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    thread::spawn(move || {
+        let signal = async_io::block_on(signals.next());
+        let started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+        for id in started.iter().filter_map(|id| rustix::process::Pid::from_raw(*id as i32)) {
+            // It may have ended by itself.
+            let _ = rustix::process::kill_process(id, rustix::process::Signal::KILL);
+        }
+        eprintln!("ironpaddle-lab: ended by {signal:?}");
+        std::process::exit(1);
+    });
+    Ok(())
+}
+
+/// A process that was started here has ended.
+pub fn has_ended(id: u32) {
+    STARTED.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+}
+
 /// How often an aggregator looks whether the process that started it is still there.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
@@ -118,7 +149,12 @@
             .env("TMPDIR", &self.dir)
             .stdout(log.try_clone()?)
             .stderr(log);
-        self.child = Some(child.spawn()?);
+        // None is started between a signal and the end.
+        let mut started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+        let child = child.spawn()?;
+        started.insert(child.id());
+        drop(started);
+        self.child = Some(child);
         let began = Instant::now();
         while !matches!(self.call("GET", "/healthcheck"), Ok((200, _))) {
             if began.elapsed() > START {
@@ -188,6 +224,7 @@
         if let Some(mut child) = self.child.take() {
             child.kill()?;
             child.wait()?;
+            has_ended(child.id());
         }
         Ok(())
     }
@@ -258,7 +295,9 @@
         self.cpu_ms = self.cpu_ms();
         let Some(mut child) = self.child.take() else { return Ok(false) };
         Command::new("kill").args(["-s", "TERM", &child.id().to_string()]).status()?;
-        Ok(child.wait()?.success())
+        let ended = child.wait()?.success();
+        has_ended(child.id());
+        Ok(ended)
     }
 }
 
@@ -268,6 +307,7 @@
             // It may have ended by itself.
             let _ = child.kill();
             let _ = child.wait();
+            has_ended(child.id());
         }
     }
 }
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -11,7 +11,7 @@
 use clap::{Args, ValueEnum};
 use serde::Serialize;
 
-use crate::Api;
+use crate::{aggregators, Api};
 
 /// Which wires are played.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -90,6 +90,7 @@
 /// # Errors
 /// If a life cannot be played.
 pub fn run(options: &Options) -> Result<bool, String> {
+    aggregators::end_with_this_process().map_err(|error| error.to_string())?;
     let mut outcomes = Vec::new();
     for seed in options.seed..options.seed + options.seeds {
         for &api in options.api.apis() {
--- a/crates/lab/src/soak/life.rs
+++ b/crates/lab/src/soak/life.rs
@@ -13,7 +13,7 @@
 use crate::demo::{self, World, BEARS, KIND};
 use crate::discovery::Mode;
 use crate::scenario::{self, Act};
-use crate::Api;
+use crate::{aggregators, Api};
 
 /// New connections still come for so long after an aggregator was told to end, in milliseconds.
 const FRONT_MS: f64 = 400.0;
@@ -111,6 +111,7 @@
     let told = Instant::now();
     loop {
         if let Some(status) = child.try_wait().map_err(|error| error.to_string())? {
+            aggregators::has_ended(child.id());
             if !status.success() {
                 world.checker.breaks("crash", &format!("n-{no} ended with {status}"));
             }
@@ -118,7 +119,9 @@
         }
         if told.elapsed() >= KILLED_AFTER {
             // What it has not answered by now is missed by clients.
-            return child.kill().and_then(|()| child.wait()).map(drop).map_err(|error| error.to_string());
+            let ended = child.kill().and_then(|()| child.wait());
+            aggregators::has_ended(child.id());
+            return ended.map(drop).map_err(|error| error.to_string());
         }
         thread::sleep(LOOK_EVERY);
     }
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -1,7 +1,8 @@
 //! A short soak of fixed seeds on both wires, and what the command takes. The long one is run by hand
 //! (`docs/measurements/soak.md`).
 
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 fn soak(arguments: &[&str]) -> Output {
     let output = Command::new(env!("CARGO_BIN_EXE_ironpaddle-lab")).arg("soak").args(arguments).output();
@@ -38,3 +39,37 @@
         assert!(said.contains(why), "{said}");
     }
 }
+
+/// Aggregators that are still there of a soak whose folder of temporary files is this one.
+fn left(folder: &std::path::Path) -> usize {
+    let named = folder.display().to_string();
+    let processes = std::fs::read_dir("/proc").unwrap().filter_map(Result::ok);
+    let commands =
+        processes.filter_map(|process| std::fs::read_to_string(process.path().join("cmdline")).ok());
+    commands.filter(|command| command.contains("config.json") && command.contains(&named)).count()
+}
+
+#[test]
+fn a_signal_ends_all_that_a_soak_has_started() {
+    let folder = std::env::temp_dir().join(format!("ironpaddle-soak-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let mut soak = Command::new(env!("CARGO_BIN_EXE_ironpaddle-lab"))
+        .args(["soak", "--seeds", "1", "--seed", "3", "--api", "platform"])
+        .env("TMPDIR", &folder)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    let until = |what: &str, reached: &dyn Fn() -> bool| {
+        let begun = Instant::now();
+        while !reached() {
+            assert!(begun.elapsed() < Duration::from_secs(30), "{what}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    until("it starts aggregators", &|| left(&folder) >= 3);
+    let id = rustix::process::Pid::from_child(&soak);
+    rustix::process::kill_process(id, rustix::process::Signal::TERM).unwrap();
+    assert_eq!(soak.wait().unwrap().code(), Some(1));
+    until("they end with it", &|| left(&folder) == 0);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
