--- a/src/cold/tests.rs
+++ b/src/cold/tests.rs
@@ -117,8 +117,8 @@
 
 /// How far what so many routers send within a window goes beyond what a replica bears that started so long ago, in
 /// what is put down to chance, when each had nothing to send at first and then at once has more than it may. Each has
-/// the same traffic; reports tell of it or do not.
-fn at_once(routers: u32, idle: u32, tell: bool) -> f64 {
+/// the same traffic, of so many parts a millisecond together, and warm replicas do so many; reports tell of it or do not.
+fn at_once(routers: u32, idle: u32, tell: bool, (traffic, capacity): (f64, f64)) -> f64 {
     let mut chance = 7;
     let mut all: Vec<_> = (0..routers).map(|_| (Traffic::default(), (draw(&mut chance), 10_000.0))).collect();
     let from = 10_000 + idle;
@@ -127,9 +127,9 @@
         let at = f64::from(now);
         for (known, left) in &mut all {
             if tell && now % 100 == 0 {
-                known.told(at, Some(RULE), &reports((0..100).map(|_| (report(SMALL * 500.0, 0.5), None))));
+                known.told(at, Some(RULE), &reports((0..100).map(|_| (report(capacity * 500.0, 0.5), None))));
             }
-            if draw(&mut chance) < SMALL * 50.0 / f64::from(routers) {
+            if draw(&mut chance) < traffic / f64::from(routers) {
                 known.worked(true);
                 known.asked(1, 0.2);
             }
@@ -138,7 +138,7 @@
             }
             loop {
                 let (room, most) =
-                    room(&RULE, (10_000.0, at), *left, SMALL / 2.0, (known, routers)).expect("it is cold");
+                    room(&RULE, (10_000.0, at), *left, capacity / 2.0, (known, routers)).expect("it is cold");
                 if room < most.min(1.0) {
                     break;
                 }
@@ -149,7 +149,7 @@
     }
     let beyond = |(at, window): (usize, &[f64])| {
         let warmth = RULE.from + (1.0 - RULE.from) * (f64::from(idle) + at as f64) / RULE.warm_within;
-        let bears = RULE.multiple * SMALL * RULE.window * warmth;
+        let bears = RULE.multiple * capacity * RULE.window * warmth;
         (window.iter().sum::<f64>() - bears) / (2.0 * bears.sqrt() + 2.0)
     };
     sent.windows(RULE.window as usize).enumerate().map(beyond).fold(f64::MIN, f64::max)
@@ -161,13 +161,31 @@
     for idle in [500, 3000, 6000] {
         for routers in [2, 20, 30, 100, 300] {
             for reports in [false, true] {
-                let beyond = at_once(routers, idle, reports);
+                let beyond = at_once(routers, idle, reports, (SMALL * 50.0, SMALL));
                 assert!(beyond <= 1.0, "{routers}, idle for {idle}, reports {reports}: {beyond}");
             }
         }
     }
 }
 
+/// The same where each router has a query only every so many milliseconds: calls that are kept until two queries have come
+/// add up.
+#[test]
+fn what_routers_with_few_queries_have_saved_up_is_no_more_than_a_cold_replica_bears() {
+    for capacity in [SMALL, CAPACITY] {
+        for every in [1600.0, 20_000.0] {
+            for idle in [500, 6000] {
+                for routers in [30, 300] {
+                    let traffic = (f64::from(routers) / every, capacity);
+                    let beyond = at_once(routers, idle, true, traffic);
+                    let case = format!("{routers} of {capacity}, one in {every}, idle for {idle}");
+                    assert!(beyond <= 1.0, "{case}: {beyond}");
+                }
+            }
+        }
+    }
+}
+
 /// Thirty routers with twice the work that it bears use it all the same.
 #[test]
 fn thirty_routers_use_a_cold_replica() {
