Let tests of upgrades wait until the running process can be found

Ruled out: the socket's removal, which only the next process does.

Change: Aggregator::succeed and that test wait for the socket to be there; what they check stays.

--- a/tests/sockets/aggregator.rs
+++ b/tests/sockets/aggregator.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
@@ -186,6 +186,7 @@
 
     /// Starts a further process of this aggregator, which takes over from the running one.
     pub fn succeed(&self) -> Self {
+        self.meets();
         Aggregator::run(self.wire, self.board.clone(), self.stores.clone(), self.folder.clone())
     }
 
@@ -206,6 +207,15 @@
         self.folder.path.join("ironpaddle-n0.sock")
     }
 
+    /// Waits until a further process can find this one.
+    pub fn meets(&self) {
+        let begun = Instant::now();
+        while !self.meeting().exists() {
+            assert!(begun.elapsed() < Duration::from_secs(30), "no socket at {}", self.meeting().display());
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     fn run(wire: Wire, board: Arc<Board>, stores: Vec<SocketAddr>, folder: Arc<Folder>) -> Self {
         let mut child = folder.command().stderr(Stdio::piped()).spawn().unwrap();
         let (sender, log) = mpsc::channel();
--- a/tests/sockets/upgrade.rs
+++ b/tests/sockets/upgrade.rs
@@ -167,7 +167,8 @@
 #[test]
 fn a_stale_socket_is_no_running_process() {
     let mut old = Aggregator::start(Wire::Frames, 1);
-    // Killed, it leaves its socket behind, at which nobody listens.
+    // Killed, it leaves its socket behind, at which nobody listens. It says that it serves a moment before it listens there.
+    old.meets();
     old.signal("KILL");
     old.wait();
     assert!(old.meeting().exists());
