Show a handover and an end that calls failing for a moment keep from getting through

Cause: handover::link hands each failed call to its caller, which takes the other process for gone, so that the old one may serve again beside the new; and async-signal wakes by a send to itself in the handler, whose failure loses the signal.

--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -180,3 +180,27 @@
         }
     }
 }
+
+/// Calls fail for a moment while a new process takes over and the old one is told to end: neither takes the other for
+/// gone, and what tells the end is not lost.
+#[test]
+fn a_handover_and_an_end_get_through_calls_that_fail_for_a_moment() {
+    const KILLED_AFTER: Duration = Duration::from_millis(3700);
+    for seed in 1..=6 {
+        let faults = format!("seed={seed} recv=ENOMEM@30 send=ENOBUFS@30");
+        let mut old = Aggregator::failing(Wire::Frames, 1, Some(&faults), |_, _| {});
+        let new = old.succeed();
+        old.logged("the new process serves");
+        std::thread::sleep(Duration::from_millis(300));
+        let told = Instant::now();
+        old.signal("TERM");
+        old.logged("draining");
+        assert_eq!(old.wait().code(), Some(0), "seed {seed}");
+        assert!(told.elapsed() < KILLED_AFTER, "seed {seed}: {:?}", told.elapsed());
+        assert!(new.ask("run-lookup", &[0], 5000).whole(), "seed {seed}");
+        // It is found at the place that the old one has left.
+        let newer = new.succeed();
+        new.logged("the new process serves");
+        assert!(newer.ask("run-lookup", &[1], 5000).whole(), "seed {seed}");
+    }
+}
