Let handovers and signals get through calls that fail for a moment

Cause: as shown before: handover::link took each failed call for the end of the other process; the wake-up of a signal is a send to the program itself, and async-signal loses the signal with it.

Change: the link makes its calls again (net::Stream, net::again); service/signals.rs marks each signal in its handler (signal-hook's flags, which call nothing that may fail) and looks at the marks at each wake-up and every 0.1 s, which is what the end of a process has to spare.

--- a/src/handover/link.rs
+++ b/src/handover/link.rs
@@ -13,6 +13,7 @@
 };
 
 use super::Word;
+use crate::net::{self, Stream};
 
 /// The longest line: entries of the replicated store may be long.
 const MOST_LINE: usize = 64 * 1024 * 1024;
@@ -44,7 +45,7 @@
     pub async fn say(&self, word: &Word) -> io::Result<()> {
         let mut line = serde_json::to_vec(word)?;
         line.push(b'\n');
-        (&self.stream).write_all(&line).await
+        Stream::from(&self.stream).write_all(&line).await
     }
 
     /// Passes sockets along, with one byte that carries them.
@@ -61,7 +62,7 @@
             }
             Ok(sendmsg(stream, &[IoSlice::new(b"s")], &mut control, SendFlags::NOSIGNAL)?)
         };
-        self.stream.write_with(send).await.map(drop)
+        net::again(|| self.stream.write_with(send)).await.map(drop)
     }
 
     /// Takes the sockets that are passed along.
@@ -86,7 +87,7 @@
             }
             Ok(sockets)
         };
-        self.stream.read_with(receive).await
+        net::again(|| self.stream.read_with(receive)).await
     }
 }
 
@@ -117,7 +118,7 @@
             if self.buffer.len() > MOST_LINE {
                 return Err(io::Error::new(io::ErrorKind::InvalidData, "a line that does not end"));
             }
-            match (&link.stream).read(&mut bytes).await? {
+            match Stream::from(&link.stream).read(&mut bytes).await? {
                 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
                 count => self.buffer.extend_from_slice(&bytes[..count]),
             }
--- a/src/net.rs
+++ b/src/net.rs
@@ -54,6 +54,22 @@
     matches!(Errno::from_io_error(error), Some(Errno::NOBUFS | Errno::NOMEM))
 }
 
+/// Makes a call until it succeeds or fails for good.
+///
+/// # Errors
+/// The call's own, if it is neither an interruption nor want of memory.
+pub async fn again<T, F: Future<Output = io::Result<T>>>(mut call: impl FnMut() -> F) -> io::Result<T> {
+    loop {
+        match call().await {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if is_lack_of_memory(&error) => {
+                Timer::after(LACK_PAUSE).await;
+            }
+            outcome => return outcome,
+        }
+    }
+}
+
 /// A connection. Clones are the same connection.
 #[derive(Debug)]
 pub struct Stream<S = TcpStream> {
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod program;
 pub mod reload;
+pub mod signals;
 
 use std::path::Path;
 use std::rc::Rc;
@@ -9,8 +10,8 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_signal::{Signal, Signals};
-use futures_lite::{future, StreamExt};
+use async_signal::Signal;
+use futures_lite::future;
 
 use crate::config::Config;
 use crate::handover::{self, new, old, Wire};
@@ -19,6 +20,7 @@
 use crate::operator::Operator;
 use crate::transport::span;
 use program::Program;
+use signals::Told;
 
 /// After SIGTERM, new connections still come for a while beyond the time for idle ones.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(250);
@@ -41,8 +43,7 @@
 
 async fn serve(path: &Path, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
     // Before anything else: a signal that is not caught would end the process.
-    let kinds = [Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup];
-    let mut signals = Signals::new(kinds).map_err(|e| e.to_string())?;
+    let mut signals = Told::new().map_err(|error| error.to_string())?;
     let config = Config::load(path)?;
     let name = config.name.clone();
     let operators = program::operators(&config).await?;
@@ -119,13 +120,11 @@
 }
 
 /// Attends to signals until one of them ends the program.
-async fn until_told_to_end(signals: &mut Signals, attend: impl Fn(Signal)) {
+async fn until_told_to_end(signals: &mut Told, attend: impl Fn(Signal)) {
     loop {
         match signals.next().await {
-            Some(Ok(Signal::Term | Signal::Int)) => return,
-            Some(Ok(signal)) => attend(signal),
-            Some(Err(error)) => log::line(&format!("signals: {error}")),
-            None => future::pending().await,
+            Signal::Term | Signal::Int => return,
+            signal => attend(signal),
         }
     }
 }
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -198,7 +198,9 @@
         assert_eq!(old.wait().code(), Some(0), "seed {seed}");
         assert!(told.elapsed() < KILLED_AFTER, "seed {seed}: {:?}", told.elapsed());
         assert!(new.ask("run-lookup", &[0], 5000).whole(), "seed {seed}");
-        // It is found at the place that the old one has left.
+        // It is found at the place that the old one has left, a moment after it has seen that.
+        new.logged("the old process is gone");
+        std::thread::sleep(Duration::from_millis(100));
         let newer = new.succeed();
         new.logged("the new process serves");
         assert!(newer.ask("run-lookup", &[1], 5000).whole(), "seed {seed}");
