--- a/crates/lab/src/check/tests.rs
+++ b/crates/lab/src/check/tests.rs
@@ -104,3 +104,13 @@
         assert!(found == count || (rule == "failback" && found > 0), "{rule}: {found}");
     }
 }
+
+#[test]
+fn an_answer_is_lost_half_a_second_late_where_that_is_judged() {
+    let checker = Checker::default();
+    checker.lost_after(500.0);
+    checker.answered(&Answer { at: 600.0, ..answer("a") }, |_| "v".to_string());
+    assert!(checker.broken().is_empty());
+    checker.answered(&Answer { at: 601.0, ..answer("b") }, |_| "v".to_string());
+    assert_eq!(checker.broken()["in time"].0, 1);
+}
--- a/crates/lab/src/soak/life.rs
+++ b/crates/lab/src/soak/life.rs
@@ -23,6 +23,8 @@
 const READY: Duration = Duration::from_secs(10);
 /// What is told counts as told so long after discovery had it and could be reached, in milliseconds.
 const TOLD_MS: f64 = 6000.0;
+/// An answer so long after its time is lost, in milliseconds.
+const LOST_MS: f64 = 500.0;
 /// The memory that an aggregator may have, in megabytes.
 const MEMORY_MB: f64 = 192.0;
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -55,6 +57,7 @@
         faults: draw.faults.clone(),
     };
     let world = Arc::new(demo::build(&load).map_err(|error| error.to_string())?);
+    world.checker.lost_after(LOST_MS);
     let begin = world.clock.now();
     let troubled = thread::scope(|scope| {
         let watched = world.clone();
@@ -182,6 +185,8 @@
         let (which, spell) = act.about();
         let mut random = fastrand::Rng::with_seed(self.draw.seed ^ at.to_bits());
         let chosen = which.map_or(Vec::new(), |which| scenario::pick(which, self.draw.stores, &mut random));
+        let names: Vec<_> = chosen.iter().map(|store| format!("s-{store}")).collect();
+        println!("  at {at:.0} ms {act:?}: {}", names.join(" "));
         self.world.act(act, &chosen, true, self.begin + at)?;
         if matches!(act, Act::Drain(..)) {
             // Told late at the worst: once discovery can be reached again.
@@ -201,7 +206,12 @@
             };
             chosen.iter().for_each(|store| self.world.checker.started(*store, cold));
         }
-        self.world.act(act, &chosen, false, self.begin + at)
+        self.world.act(act, &chosen, false, self.begin + at)?;
+        if matches!(act, Act::Kill(..)) {
+            // It is listed as ready again, whatever it was before.
+            chosen.iter().for_each(|store| self.world.checker.drains(*store, None));
+        }
+        Ok(())
     }
 
     /// From when on discovery answers, for what it is told at some time of the life: a watch may have broken before.
