Wait a tenth as long after an accept that fails

Cause: as shown before: ACCEPT_PAUSE of 50 ms holds up all that wait behind, once for each accept that fails.

Change: 5 ms, and the log tells of such failures once a second.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -91,8 +91,10 @@
 const KEPT_SHARE: usize = 4;
 /// The first place in the order of idle connections of one that has asked.
 const ASKED: (bool, u64) = (true, 0);
-/// The wait after an accept that failed, for want of descriptors for example.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The wait after an accept that failed, for want of descriptors for example. All that wait behind it wait as well.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+/// The log tells of such failures once in so long.
+const SAY_FAILED: Duration = Duration::from_secs(1);
 
 /// A listening server.
 pub struct Server {
@@ -109,6 +111,8 @@
     ending: Cell<bool>,
     /// When the listener's queue was seen empty last: what waits there has come since.
     queue_empty: Cell<Instant>,
+    /// When the log told last of an accept that failed.
+    said_failed: Cell<Option<Instant>>,
     pub(super) door: Rc<Door>,
     /// Connections that stand idle, those that never asked first and then longest first.
     idle: RefCell<BTreeMap<(bool, u64), Idle>>,
@@ -135,6 +139,7 @@
             last: Cell::new(0),
             ending: Cell::new(false),
             queue_empty: Cell::new(Instant::now()),
+            said_failed: Cell::new(None),
             door,
             idle: RefCell::default(),
             ended: async_channel::bounded(1),
@@ -229,7 +234,7 @@
                 future::yield_now().await;
             }
             Err(error) => {
-                log::line(&format!("accept failed: {error}"));
+                self.say_failed(&error);
                 match Fault::of(&error) {
                     // No descriptor is left: connections wait in the queue until one is.
                     Fault::Room => {
@@ -246,6 +251,13 @@
         }
     }
 
+    fn say_failed(&self, error: &io::Error) {
+        if self.said_failed.get().is_none_or(|said| said.elapsed() >= SAY_FAILED) {
+            self.said_failed.set(Some(Instant::now()));
+            log::line(&format!("accept failed: {error}"));
+        }
+    }
+
     /// Makes room; says whether a connection stood idle. One that never asked has to have stood for some time, unless
     /// such are many.
     ///
