--- a/src/cold/tests.rs
+++ b/src/cold/tests.rs
@@ -95,6 +95,15 @@
     assert_eq!(read.pace, known.pace);
 }
 
+#[test]
+fn reports_of_replicas_that_serve_nothing_tell_of_no_pace() {
+    let warm = (0..50).map(|_| (report(0.0, 0.8), None));
+    let cold = (0..40).map(|_| (report(0.0, 0.0), Some(0.5)));
+    let mut known = Traffic::default();
+    known.told(0.0, Some(RULE), &reports(warm.chain(cold)));
+    assert_eq!(known.pace, 1.0);
+}
+
 #[test]
 fn a_router_that_has_just_started_takes_an_even_share_and_the_last_one_left_takes_all() {
     let mut known = Traffic::default();
