--- a/src/cold.rs
+++ b/src/cold.rs
@@ -60,8 +60,7 @@
         self.rate = if *tell > 0 { served.value() / 1000.0 * *all as f64 / *tell as f64 } else { 0.0 };
         let busy = warm.busy.value();
         self.capacity = if busy > 0.0 { Some(warm.served.value() / 1000.0 / busy) } else { self.capacity };
-        self.pace =
-            self.capacity.map_or(1.0, |capacity| cold.pace(rule.from, capacity)).clamp(1.0, MOST_PACE);
+        self.pace = self.capacity.map_or(1.0, |capacity| cold.pace(rule.from, capacity));
     }
 
     /// A query of so many parts came in; each new one counts for one in so many of the mean.
@@ -158,8 +157,14 @@
     fn pace(&self, from: f64, capacity: f64) -> f64 {
         let served = self.served.value();
         let sure = served / 1000.0 * (1.0 - CHANCE / served.max(1.0).sqrt());
-        (sure / capacity - from * self.busy.value())
-            / ((1.0 - from) * self.grown.value()).max(f64::MIN_POSITIVE)
+        let pace = (sure / capacity - from * self.busy.value())
+            / ((1.0 - from) * self.grown.value()).max(f64::MIN_POSITIVE);
+        // Where nothing is served it is no number, and tells nothing.
+        if pace.is_nan() {
+            1.0
+        } else {
+            pace.clamp(1.0, MOST_PACE)
+        }
     }
 }
 
