Let review case 1 also check parts that must not run twice

With one search in six turned away, a second copy of a 429 makes the aggregator send a part of shift-entry again while it runs.

--- a/review/rig/src/foreign.rs
+++ b/review/rig/src/foreign.rs
@@ -9,7 +9,7 @@
 use crate::http::Client;
 use crate::program::Program;
 use crate::record::{quit, Record};
-use crate::searches::{self, Conduct};
+use crate::searches::{self, Conduct, Runs};
 use crate::{delay, discovery};
 
 const RUN_STORES: usize = 12;
@@ -17,6 +17,8 @@
 /// Screens that ask once a second, all at the same time.
 const CLIENTS: usize = 16;
 const EVERY: Duration = Duration::from_secs(1);
+/// Ids of searches of the class shift-entry, whose parts must not run twice, begin with this.
+const ENTRY: &str = "e";
 const RUN_FOR: Duration = Duration::from_secs(30);
 /// One way between the aggregator and a run store.
 const ONE_WAY: Duration = Duration::from_micros(1400);
@@ -28,9 +30,10 @@
 "settings":{{"balancers":1,"discovery":"subscribe","tick_ms":5.0,"zone":"jhb-dc1",
 "caps":{{"connect_timeout_ms":250.0,"keepalive_ms":30000.0,"max_attempts":3,"max_open":185,"max_retry_after_ms":2000.0,
 "may_cancel":true,"parallel_tries":true,"probes":true,"streams_per_conn":100}},
-"domain":{{"cells":{RUN_STORES},"width":3,"shards":{SHARDS},"bundle_max":1,"least_share":[1.0],"complete_from":[1.0],
-"partial_earns":[0.9]}},
-"request_classes":[{{"name":"run-lookup","aim_ms":2000.0,"deadline_ms":6000.0,"late_worth":0.1,"repeat":"read_like",
+"domain":{{"cells":{RUN_STORES},"width":3,"shards":{SHARDS},"bundle_max":1,"least_share":[1.0,1.0],"complete_from":[1.0,1.0],
+"partial_earns":[0.9,0.9]}},
+"request_classes":[{{"name":"shift-entry","aim_ms":1500.0,"deadline_ms":5000.0,"late_worth":0.3,"repeat":"non_idempotent",
+"value":2.0}},{{"name":"run-lookup","aim_ms":2000.0,"deadline_ms":6000.0,"late_worth":0.1,"repeat":"read_like",
 "value":1.0}}],
 "realms":[{{"name":"vaal-muon","quota_per_s":100.0}}],"over_share_worth":0.05,
 "rules":{{"cold_from":0.3,"fall_multiple":2.0,"overload_for_ms":1000.0,"warm_within_ms":16000.0}}}}}}"#
@@ -47,11 +50,13 @@
 pub fn run(root: &Path, record: Arc<Record>, trouble: bool) -> bool {
     let conduct = Conduct {
         work: Duration::from_millis(50),
-        copy_every: if trouble { 20 } else { 0 },
+        turn_away_every: 6,
+        copy_every: if trouble { 5 } else { 0 },
         copy_after: Duration::from_micros(500),
     };
+    let runs = Arc::new(Runs::default());
     let stores: Vec<_> = (0..RUN_STORES)
-        .map(|no| delay::start(searches::start(no, conduct, record.clone(), Arc::default()), ONE_WAY))
+        .map(|no| delay::start(searches::start(no, conduct, record.clone(), runs.clone()), ONE_WAY))
         .collect();
     let discovery = discovery::start(&stores);
     let mut program = Program::start(root, |listen| config(listen, discovery));
@@ -73,10 +78,12 @@
     let count = |number: &AtomicU64| number.load(Ordering::Relaxed);
     let (asked, served, foreign) = (count(&counts.asked), count(&counts.served), count(&counts.foreign));
     record.say(&format!("searches {asked}, served {served}, served with hits of another search: {foreign}"));
+    let twice = runs.ran_twice(ENTRY);
+    record.say(&format!("parts of shift-entry that ran more than once: {} {}", twice.len(), twice.join(" ")));
     if served * 2 < asked {
         quit("fewer than half of the searches were served");
     }
-    foreign == 0
+    foreign == 0 && twice.is_empty()
 }
 
 fn ask_until(until: Instant, no: usize, address: std::net::SocketAddr, counts: &Counts, record: &Record) {
@@ -93,13 +100,16 @@
         thread::sleep(next.saturating_duration_since(Instant::now()));
         next += EVERY;
         asked += 1;
-        let id = format!("c{no}-{asked}");
+        // Every other screen asks for shift-entry, of which each needs one run block.
+        let (class, letter, parts) =
+            if no % 2 == 0 { ("shift-entry", ENTRY, 1) } else { ("run-lookup", "l", 5) };
+        let id = format!("{letter}{no}-{asked}");
         let first = draw(SHARDS as u64) as usize;
-        let shards: Vec<usize> = (0..5).map(|at| (first + at * 5) % SHARDS).collect();
+        let shards: Vec<usize> = (0..parts).map(|at| (first + at * 5) % SHARDS).collect();
         let names: Vec<String> = shards.iter().map(usize::to_string).collect();
         let body = r#"{"query":{"match_all":{}},"size":20}"#;
         let request = format!(
-            "POST /run-lookup/_search?preference=_shards:{} HTTP/1.1\r\nHost: desk\r\nX-Opaque-Id: {id}\r\n\
+            "POST /{class}/_search?preference=_shards:{} HTTP/1.1\r\nHost: desk\r\nX-Opaque-Id: {id}\r\n\
              X-Tenant-Id: vaal-muon\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             names.join(","),
             body.len()
--- a/review/rig/src/removed.rs
+++ b/review/rig/src/removed.rs
@@ -45,7 +45,12 @@
 }
 
 pub fn run(root: &Path, record: Arc<Record>, trouble: bool) -> bool {
-    let conduct = Conduct { work: Duration::from_millis(60), copy_every: 0, copy_after: Duration::ZERO };
+    let conduct = Conduct {
+        work: Duration::from_millis(60),
+        turn_away_every: 0,
+        copy_every: 0,
+        copy_after: Duration::ZERO,
+    };
     let runs = Arc::new(searches::Runs::default());
     let stores: BTreeMap<usize, SocketAddr> =
         (0..RUN_STORES).map(|no| (no, searches::start(no, conduct, record.clone(), runs.clone()))).collect();
