Do not let a class that a reload removed prolong a later shutdown

What callers saw: after a reload that removed (or shortened) the class with the longest deadline while a query of it was open, SIGTERM still waited for that old deadline.

Cause: Classes keeps the entry of a class that has left the settings while a query of it is open, and released it only at the next reload. Classes::longest_deadline took the maximum over all entries, and the exit time is derived from it. Ruled out: deadlines of open queries (capped at the exit time) and the reload itself (new queries of the class got 404). The same cause on a related path: Router::min_aim went on to count a removed class.

Change: the longest deadline is that of the settings in force, also while a query of a removed class is open. Before each step the core releases the entries of removed classes whose last query has ended, applies the classes to the router and records this in the trace; replay of recordings with reloads stays exact (other_settings_while_it_records_replay_too). Applying settings starts tenants' quotas anew, as at each reload. The text of the decision module is unchanged.

--- a/src/core/classes.rs
+++ b/src/core/classes.rs
@@ -1,7 +1,7 @@
 //! The classes by index. An index keeps its class as long as queries of that class are open, even if other
-//! settings are applied in the meantime.
+//! settings are applied in the meantime, and loses it once the last of them has ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::api::{Class, Millis};
@@ -24,13 +24,16 @@
     entries: Vec<ClassEntry>,
     /// The indexes of the classes in the current settings.
     indexes: BTreeMap<Arc<str>, usize>,
+    /// The index of the first class of the current settings.
+    first: usize,
+    /// The indexes that keep a class that is not in the current settings.
+    removed: BTreeSet<usize>,
 }
 
 impl Classes {
     /// Applies the classes of the settings. An unchanged class keeps its index; a new or changed class gets
     /// the index that its name had, or any unused index, or a new one. An index that is neither in use nor
-    /// needed gets a copy of the first class of the settings, so that a removed class has no influence on
-    /// anything.
+    /// needed is released, see [`Classes::release_unused`].
     pub fn apply_settings(&mut self, site: &SiteSettings, in_use: impl Fn(usize) -> bool) {
         let router_classes = site.router_settings().classes;
         let wanted: Vec<ClassEntry> = site
@@ -63,11 +66,22 @@
             taken[index] = true;
             self.indexes.insert(entry.name.clone(), index);
         }
-        for (unused, taken) in self.entries.iter_mut().zip(taken) {
-            if let (false, Some(replacement)) = (taken, wanted.first()) {
-                *unused = replacement.clone();
-            }
+        self.first = wanted.first().map_or(0, |entry| self.indexes[&entry.name]);
+        let in_settings: BTreeSet<usize> = self.indexes.values().copied().collect();
+        self.removed = (0..self.entries.len()).filter(|index| !in_settings.contains(index)).collect();
+        self.release_unused(in_use);
+    }
+
+    /// Releases the indexes of removed classes that are no longer in use, and returns whether there were any.
+    /// They get a copy of the first class of the settings, so that a removed class has no influence on
+    /// anything.
+    pub fn release_unused(&mut self, in_use: impl Fn(usize) -> bool) -> bool {
+        let unused: Vec<usize> = self.removed.iter().copied().filter(|index| !in_use(*index)).collect();
+        for index in &unused {
+            self.entries[*index] = self.entries[self.first].clone();
+            self.removed.remove(index);
         }
+        !unused.is_empty()
     }
 
     /// Restores the order of another process's classes, as the state that its router has learned refers to
@@ -110,9 +124,9 @@
         self.entries.iter().map(|entry| entry.class.clone()).collect()
     }
 
-    /// Returns the longest deadline of any class.
+    /// Returns the longest deadline of the classes in the current settings.
     pub fn longest_deadline(&self) -> Millis {
-        self.entries.iter().map(|entry| entry.deadline).fold(0.0, f64::max)
+        self.indexes.values().map(|index| self.entries[*index].deadline).fold(0.0, f64::max)
     }
 }
 
--- a/src/core/classes/tests.rs
+++ b/src/core/classes/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::core::{Core, PartRequest, QueryRequest};
 use serde_json::json;
 
 fn site(classes: &[(&str, f64)]) -> SiteSettings {
@@ -26,3 +27,47 @@
         "no setting of a removed class remains"
     );
 }
+
+fn site_with_deadlines(classes: &[(&str, f64, f64)]) -> SiteSettings {
+    let class = |(name, aim, deadline): &(&str, f64, f64)| json!({"name": name, "aim_ms": aim, "deadline_ms": deadline, "repeat": "read_like"});
+    let classes: Vec<_> = classes.iter().map(class).collect();
+    serde_json::from_value(json!({
+        "request_classes": classes,
+        "domain": {"cells": 1, "width": 1},
+        "caps": {"max_attempts": 1, "max_open": 9},
+        "tick_ms": 5.0,
+    }))
+    .unwrap()
+}
+
+fn query(class: &str) -> QueryRequest {
+    QueryRequest {
+        id: "r1".into(),
+        class: class.into(),
+        tenant: None,
+        timeout: None,
+        queued: 0.0,
+        is_retry: false,
+        accepts_partial: true,
+        key: None,
+        parts: vec![PartRequest { shard: 0, weight: 1.0, work_hint: None, key: None }],
+        payload: b"text"[..].into(),
+    }
+}
+
+/// Guards against a removed class that counts until the next reload because a query of it was open at this one.
+#[test]
+fn a_removed_class_counts_neither_in_the_longest_deadline_nor_after_its_last_query() {
+    let mut core = Core::new(&site_with_deadlines(&[("a", 10.0, 3000.0), ("b", 500.0, 1000.0)]), 7).unwrap();
+    let open = core.take_in(0.0, query("a")).unwrap();
+    core.step(5.0);
+    core.apply_settings(&site_with_deadlines(&[("b", 500.0, 1000.0)])).unwrap();
+    let aims = |core: &Core| core.settings.classes.iter().map(|class| class.aim).collect::<Vec<_>>();
+    core.step(10.0);
+    assert_eq!(core.longest_deadline(), 1000.0, "the settings in force have no longer deadline");
+    assert_eq!(aims(&core), [10.0, 500.0], "the open query keeps its class");
+    core.client_gone(15.0, open);
+    core.step(15.0);
+    assert_eq!(aims(&core), [500.0, 500.0], "the router no longer knows the removed class");
+    assert_eq!((core.longest_deadline(), core.classes.index_of("b")), (1000.0, Some(1)));
+}
--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -278,7 +278,7 @@
         Ok(())
     }
 
-    /// Returns the longest deadline of any class.
+    /// Returns the longest deadline of the classes in the current settings.
     pub fn longest_deadline(&self) -> Millis {
         self.core.borrow().longest_deadline()
     }
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -161,6 +161,11 @@
         self.queries.len() + self.open_parts
     }
 
+    /// Returns whether a query of the class at an index is open.
+    pub(super) fn has_query_of(&self, class: usize) -> bool {
+        self.queries.values().any(|query| query.class == class)
+    }
+
     /// Caps the deadlines of all open queries.
     pub(super) fn cap_deadlines(&mut self, at: Millis) {
         self.queries.values_mut().for_each(|query| query.deadline = query.deadline.min(at));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -357,8 +357,7 @@
     pub fn apply_settings(&mut self, site: &SiteSettings) -> Result<(), String> {
         let mut settings = site.router_settings();
         settings.check()?;
-        let open_queries = &self.ledger.queries;
-        self.classes.apply_settings(site, |index| open_queries.values().any(|query| query.class == index));
+        self.classes.apply_settings(site, |index| self.ledger.has_query_of(index));
         settings.classes = self.classes.router_classes();
         self.router.apply_settings(settings.clone())?;
         for name in self.classes.names() {
@@ -377,7 +376,18 @@
         Ok(())
     }
 
-    /// Returns the longest deadline of any class.
+    /// Removes the classes from the router that earlier settings had and whose last query has ended.
+    fn release_removed_classes(&mut self) {
+        if !self.classes.release_unused(|index| self.ledger.has_query_of(index)) {
+            return;
+        }
+        self.settings.classes = self.classes.router_classes();
+        // These settings were checked when they were applied, and now hold fewer different classes.
+        let _ = self.router.apply_settings(self.settings.clone());
+        self.trace_settings();
+    }
+
+    /// Returns the longest deadline of the classes in the current settings.
     pub fn longest_deadline(&self) -> Millis {
         self.classes.longest_deadline()
     }
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -17,6 +17,7 @@
     pub fn step(&mut self, now: Millis) {
         self.trace_segment(now);
         self.end_overdue_queries(now);
+        self.release_removed_classes();
         if self.wake_time.is_some_and(|at| at <= now) {
             self.wake_time = None;
             self.pending_events.push(Event::Wake);
--- a/tests/sockets/narrow.rs
+++ b/tests/sockets/narrow.rs
@@ -8,20 +8,11 @@
 
 use crate::aggregator::{endpoint, read_answer, Aggregator};
 use crate::calls::health_status;
-use crate::stand_in::{self, Backends, Behavior, Wire, WIRES};
+use crate::stand_in::{self, on_both_wires, Backends, Behavior, Wire, WIRES};
 
 /// The time from SIGTERM to SIGKILL by the platform, for classes with deadlines over 3 s.
 const KILL_DELAY: Duration = Duration::from_millis(3700);
 
-/// Runs a slow test on both wires in parallel.
-fn on_both_wires(test: fn(Wire)) {
-    std::thread::scope(|scope| {
-        for wire in WIRES {
-            scope.spawn(move || test(wire));
-        }
-    });
-}
-
 #[test]
 fn a_client_that_floods_after_its_request_is_rejected_and_its_parts_are_cancelled() {
     for wire in WIRES {
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -18,6 +18,16 @@
 
 pub const WIRES: [Wire; 2] = [Wire::Frames, Wire::OpenSearch];
 
+/// Runs a slow test on both wires in parallel.
+pub fn on_both_wires(test: impl Fn(Wire) + Sync) {
+    let test = &test;
+    thread::scope(|scope| {
+        for wire in WIRES {
+            scope.spawn(move || test(wire));
+        }
+    });
+}
+
 /// How a run store handles a part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behavior {
