Keep the index of a class over reloads and handovers after another was removed

Callers saw nothing at once; the class lost what the router had learned of it.

Cause: a released index got a copy of the first class of the settings under that class's name. At the next reload Classes::apply_settings looked for the class from the lowest index on and took the copy for the class itself, and so did restore_order in the process that takes over, while learned state stands under the old index.

Change: a copy has no name. The trace goes on to name it by the class that it copies, so that replay under other settings treats it as before.

Measured: both new tests failed before the change with index 0 for 1, and pass after it.

--- a/src/core/classes.rs
+++ b/src/core/classes.rs
@@ -74,11 +74,11 @@
 
     /// Releases the indexes of removed classes that are no longer in use, and returns whether there were any.
     /// They get a copy of the first class of the settings, so that a removed class has no influence on
-    /// anything.
+    /// anything, but not its name, so that they are never taken for that class.
     pub fn release_unused(&mut self, in_use: impl Fn(usize) -> bool) -> bool {
         let unused: Vec<usize> = self.removed.iter().copied().filter(|index| !in_use(*index)).collect();
         for index in &unused {
-            self.entries[*index] = self.entries[self.first].clone();
+            self.entries[*index] = ClassEntry { name: "".into(), ..self.entries[self.first].clone() };
             self.removed.remove(index);
         }
         !unused.is_empty()
@@ -99,11 +99,21 @@
         self.apply_settings(site, |_| false);
     }
 
-    /// Returns the names by index, including classes that are no longer in the settings.
+    /// Returns the names by index, including classes that are no longer in the settings; an empty name for an
+    /// index that is not in use.
     pub fn names_by_index(&self) -> Vec<String> {
         self.entries.iter().map(|entry| entry.name.to_string()).collect()
     }
 
+    /// Returns the names of the classes of [`Classes::router_classes`], in the same order.
+    pub fn router_class_names(&self) -> Vec<Arc<str>> {
+        let name = |entry: &ClassEntry| match &*entry.name {
+            "" => self.entries[self.first].name.clone(),
+            _ => entry.name.clone(),
+        };
+        self.entries.iter().map(name).collect()
+    }
+
     /// Returns the index of a class in the current settings.
     pub fn index_of(&self, name: &str) -> Option<usize> {
         self.indexes.get(name).copied()
--- a/src/core/classes/tests.rs
+++ b/src/core/classes/tests.rs
@@ -71,3 +71,31 @@
     assert_eq!(aims(&core), [500.0, 500.0], "the router no longer knows the removed class");
     assert_eq!((core.longest_deadline(), core.classes.index_of("b")), (1000.0, Some(1)));
 }
+
+/// Guards against learned state that is lost because a class moves to an index that was released and holds its copy.
+#[test]
+fn an_unchanged_class_keeps_its_index_over_reloads_after_another_was_removed() {
+    let mut classes = Classes::default();
+    classes.apply_settings(&site(&[("a", 1.0), ("b", 2.0)]), |_| false);
+    for reload in 0..3 {
+        classes.apply_settings(&site(&[("b", 2.0)]), |_| false);
+        assert_eq!(classes.index_of("b"), Some(1), "reload {reload}");
+    }
+}
+
+/// Guards against the same over a handover: the learned state refers to classes by index.
+#[test]
+fn a_class_keeps_its_index_over_a_handover_after_another_was_removed() {
+    let mut old = Classes::default();
+    old.apply_settings(&site(&[("a", 1.0), ("b", 2.0)]), |_| false);
+    let settings = site(&[("b", 2.0)]);
+    old.apply_settings(&settings, |_| false);
+    let mut new = Classes::default();
+    new.restore_order(&old.names_by_index(), &settings);
+    assert_eq!((old.index_of("b"), new.index_of("b")), (Some(1), Some(1)));
+    assert_eq!(
+        old.router_class_names(),
+        ["b".into(), "b".into()],
+        "the trace names what the router is given"
+    );
+}
--- a/src/core/trace_events.rs
+++ b/src/core/trace_events.rs
@@ -64,7 +64,7 @@
         ActiveSettings {
             settings: &self.settings,
             text: serde_json::to_string(&self.site).unwrap_or_default(),
-            classes: self.classes.names_by_index().iter().map(|name| Arc::from(name.as_str())).collect(),
+            classes: self.classes.router_class_names(),
             groups: groups.into_iter().map(|(_, name)| name).collect(),
         }
     }
