Match run stores' responses to searches by X-Opaque-Id

What callers saw (OpenSearch-style API): status 200, not marked partial, with the hits of another client's search, and parts of a class that may not be repeated that ran twice.

Cause: a connection to a run store carries one search after the other, and responses were told apart by their order alone. A second copy of an answer that arrives after the next search was written was read as the answer to that search (SearchTransport::execute, Client::read); a copied 429 became the proof that it never ran. The checks for surplus bytes see only what has arrived before the write. Ruled out: the merge, and a mix-up of connections (copy and search were on one connection in the case's record).

Change: a response counts only if it returns the id of the request that waits. One that returns the id of an earlier request on the connection is discarded, any other is an error of an attempt that may have run. A connection carries each id once, as clients may repeat theirs, and 256 requests at most; jobs go to idle connections that may carry them. A run store that returns no id is used with a connection for each search. Probes carry an id too. The stand-ins of the tests and the lab return ids, as run stores of this API do. Connections and their jobs move to a module of their own.

--- a/crates/lab/src/stores.rs
+++ b/crates/lab/src/stores.rs
@@ -273,9 +273,12 @@
                     let body = json!({"took": 1, "timed_out": false,
                         "_shards": {"total": 1, "successful": 1, "skipped": 0, "failed": 0},
                         "hits": {"total": {"value": 1, "relation": "eq"}, "max_score": 1.0, "hits": [hit]}});
-                    response("200 OK", &body.to_string())
+                    response("200 OK", query_id(part), &body.to_string())
+                }
+                None => {
+                    let body = r#"{"error":{"type":"rejected"},"status":429}"#;
+                    response("429 Too Many Requests", query_id(part), body)
                 }
-                None => response("429 Too Many Requests", r#"{"error":{"type":"rejected"},"status":429}"#),
             },
         }
     }
@@ -311,9 +314,10 @@
         let to = Arc::new(Mutex::new(stream.try_clone()?));
         let mut read = BufReader::new(stream);
         while let Some((first, head, _)) = read_message(&mut read)? {
+            let query = head.lines().find_map(|line| line.strip_prefix("x-opaque-id: ")).unwrap_or("");
             if !first.contains("/_search?") {
                 if let Ok(mut stream) = to.lock() {
-                    stream.write_all(&response("200 OK", "{}"))?;
+                    stream.write_all(&response("200 OK", query, "{}"))?;
                 }
                 continue;
             }
@@ -322,7 +326,6 @@
             let wait = parameter("timeout=")
                 .and_then(|wait| wait.trim_end_matches("ms").parse().ok())
                 .unwrap_or(0.0);
-            let query = head.lines().find_map(|line| line.strip_prefix("x-opaque-id: ")).unwrap_or("");
             self.receive_part(origin, &format!("{query}.{shard}"), shard, wait, &to);
         }
         Ok(())
@@ -337,9 +340,16 @@
     frame
 }
 
-fn response(status: &str, body: &str) -> Vec<u8> {
+/// Returns the id of the query that a part belongs to.
+fn query_id(part: &str) -> &str {
+    part.rsplit_once('.').map_or(part, |(query, _)| query)
+}
+
+/// Encodes the response to a request with an `X-Opaque-Id`, which it returns as run stores do.
+fn response(status: &str, opaque_id: &str, body: &str) -> Vec<u8> {
     format!(
-        "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nX-Opaque-Id: {opaque_id}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
     .into_bytes()
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -10,6 +10,17 @@
 use super::parse::{Message, MessageKind, Parser};
 use crate::net::Stream;
 
+/// Whether a response belongs to the request that waits for one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseMatch {
+    /// It belongs to that request.
+    Own,
+    /// It repeats the response to an earlier request.
+    Surplus,
+    /// It belongs to no request that is known.
+    Unknown,
+}
+
 /// A client connection to a server.
 pub struct Client {
     stream: Stream,
@@ -49,28 +60,53 @@
         self.stream.write_all(request).await
     }
 
-    /// Reads the response.
+    /// Reads the response, which is the next one on the connection.
     ///
     /// # Errors
     /// Returns an error if the connection breaks or ends early, or if the response is malformed.
     pub async fn read(&mut self) -> io::Result<Message> {
+        self.read_matching(|_| ResponseMatch::Own).await
+    }
+
+    /// Reads the response that belongs to the request, and discards surplus ones before it.
+    ///
+    /// # Errors
+    /// Returns an error if the connection breaks or ends early, or if a response is malformed or belongs to no known
+    /// request.
+    pub async fn read_matching(
+        &mut self,
+        match_response: impl Fn(&Message) -> ResponseMatch,
+    ) -> io::Result<Message> {
         let mut parser = Parser::new(MessageKind::Response(self.max_body_len));
         let mut bytes = [0; 8192];
+        let invalid = |why: String| io::Error::new(io::ErrorKind::InvalidData, why);
         loop {
-            match parser.next_message() {
-                // Skip informational (1xx) responses.
-                Ok(Some(message)) if message.start.1.starts_with('1') => continue,
-                Ok(Some(mut message)) => {
+            let (message, is_last) =
+                match parser.next_message().map_err(|error| invalid(error.to_string()))? {
+                    Some(message) => (message, false),
+                    None => match self.stream.read(&mut bytes).await? {
+                        0 => (parser.finish().ok_or(io::ErrorKind::UnexpectedEof)?, true),
+                        count => {
+                            parser.push(&bytes[..count]);
+                            continue;
+                        }
+                    },
+                };
+            // Informational (1xx) responses precede the response.
+            if message.start.1.starts_with('1') {
+                continue;
+            }
+            match match_response(&message) {
+                ResponseMatch::Own => {
                     // Bytes after the response belong to no request and must not be read as the next response.
-                    message.keep_alive &= parser.buffered() == 0;
-                    return Ok(message);
+                    let keep_alive = message.keep_alive && parser.buffered() == 0;
+                    return Ok(Message { keep_alive, ..message });
+                }
+                ResponseMatch::Surplus if !is_last => {}
+                ResponseMatch::Surplus => return Err(io::ErrorKind::UnexpectedEof.into()),
+                ResponseMatch::Unknown => {
+                    return Err(invalid("the response belongs to no request on its connection".into()))
                 }
-                Ok(None) => {}
-                Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error.to_string())),
-            }
-            match self.stream.read(&mut bytes).await? {
-                0 => return parser.finish().ok_or_else(|| io::ErrorKind::UnexpectedEof.into()),
-                count => parser.push(&bytes[..count]),
             }
         }
     }
--- a/src/log.rs
+++ b/src/log.rs
@@ -51,6 +51,8 @@
     Asked,
     /// There were too many connections.
     Full,
+    /// It carries no further request, as the response to one could not be told from others on it.
+    Renewed,
     /// This process is shutting down.
     Shutdown,
 }
@@ -74,6 +76,7 @@
             Reason::Retired => "retired",
             Reason::Asked => "asked",
             Reason::Full => "full",
+            Reason::Renewed => "renewed",
             Reason::Shutdown => "shutdown",
         }
     }
--- a/src/transport/opensearch/mod.rs
+++ b/src/transport/opensearch/mod.rs
@@ -6,6 +6,8 @@
 //! which shows that it has noticed.
 
 pub mod answer;
+mod pool;
+mod request_ids;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -13,22 +15,21 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
 
 use crate::api::{Millis, Outcome, ReplicaId};
 use crate::core::drive::{Driver, RunStores};
 use crate::core::{Call, CallEnd, CallNo};
-use crate::http::client::{within, Client};
+use crate::http::client::{within, Client, ResponseMatch};
 use crate::http::parse::Message;
 use crate::http::write;
 use crate::log::{self, Reason};
 use crate::settings::SiteSettings;
-use crate::transport::{
-    connect_failure_reason, duration_from_millis, Endpoint, Limits, NO_SOCKET_RETRY_DELAY,
-};
+use crate::transport::{connect_failure_reason, duration_from_millis, Limits, NO_SOCKET_RETRY_DELAY};
 use answer::SearchResponse;
+use pool::{Connection, Job, RunStoreEntry, Stage};
+use request_ids::returned_id;
 
 /// Maximum number of connections to one run store. Further searches wait for one of these.
 const MAX_CONNECTIONS_PER_RUN_STORE: usize = 32;
@@ -44,49 +45,6 @@
     text
 }
 
-enum Job {
-    Search(Call),
-    Probe(CallNo),
-}
-
-impl Job {
-    fn no(&self) -> CallNo {
-        match self {
-            Job::Search(call) => call.no,
-            Job::Probe(no) => *no,
-        }
-    }
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    Connecting,
-    Idle,
-    /// It was idle, and is being closed to make room.
-    Closing,
-    /// It has this job, whose request is not completely written.
-    Sending(CallNo),
-    /// It has this job, whose request is completely written.
-    Sent(CallNo),
-}
-
-struct Connection {
-    stage: Cell<Stage>,
-    jobs: (Sender<Job>, Receiver<Job>),
-    abort: (Sender<Reason>, Receiver<Reason>),
-    /// Shuts down only the write side while a job is in progress.
-    shutdown_write: (Sender<()>, Receiver<()>),
-    write_shut_down: Cell<bool>,
-}
-
-#[derive(Default)]
-struct RunStoreEntry {
-    endpoint: Option<Endpoint>,
-    retired: bool,
-    queue: VecDeque<Job>,
-    connections: Vec<Rc<Connection>>,
-}
-
 /// The transport with OpenSearch-style searches.
 pub struct SearchTransport {
     driver: Rc<Driver>,
@@ -123,52 +81,38 @@
         }
     }
 
-    /// Assigns queued jobs to idle connections, and opens a connection if there is no idle one.
+    /// Assigns queued jobs to idle connections, and opens a connection if a job is left that no idle one may carry.
     ///
     /// Only one connection is established at a time, so that a run store that has just started is not flooded with
     /// connections.
     fn dispatch(self: &Rc<Self>, run_store: &ReplicaId) {
         let mut run_stores = self.run_stores.borrow_mut();
         let Some(entry) = run_stores.get_mut(run_store) else { return };
-        while !entry.queue.is_empty() {
-            let in_stage = |stage: Stage| {
-                entry.connections.iter().find(move |connection| connection.stage.get() == stage)
-            };
-            if let Some(connection) = in_stage(Stage::Idle) {
-                let Some(job) = entry.queue.pop_front() else { return };
-                connection.stage.set(Stage::Sending(job.no()));
-                let _ = connection.jobs.0.try_send(job);
-                continue;
-            }
-            let Some((address, _)) = entry.endpoint.filter(|_| in_stage(Stage::Connecting).is_none()) else {
-                return;
-            };
-            if entry.connections.len() >= MAX_CONNECTIONS_PER_RUN_STORE {
-                return;
-            }
-            if self.open_connections.get() >= self.limits.get().max_connections {
+        while let Some((job, connection)) = entry.take_assignable() {
+            connection.stage.set(Stage::Sending(job.no()));
+            let _ = connection.jobs.0.try_send(job);
+        }
+        if entry.queue.is_empty() || entry.connection_in(Stage::Connecting).is_some() {
+            return;
+        }
+        let Some((address, _)) = entry.endpoint else { return };
+        let limit_reached = self.open_connections.get() >= self.limits.get().max_connections;
+        if limit_reached || entry.connections.len() >= MAX_CONNECTIONS_PER_RUN_STORE {
+            if let Some(connection) = entry.connection_in(Stage::Idle) {
+                // It may carry none of the queued jobs. Its end makes room for a connection that may.
+                connection.close_idle(Reason::Renewed);
+            } else if entry.connections.is_empty() {
                 // Without any connection, nothing would ever take jobs from the queue.
-                if entry.connections.is_empty() {
-                    drop(run_stores);
-                    self.wait_for_capacity(run_store);
-                }
-                return;
+                drop(run_stores);
+                self.wait_for_capacity(run_store);
             }
-            let connection = Rc::new(Connection {
-                stage: Cell::new(Stage::Connecting),
-                jobs: async_channel::bounded(1),
-                abort: async_channel::bounded(1),
-                shutdown_write: async_channel::bounded(1),
-                write_shut_down: Cell::new(false),
-            });
-            entry.connections.push(connection.clone());
-            self.open_connections.set(self.open_connections.get() + 1);
-            self.driver
-                .executor()
-                .spawn(self.clone().run_connection(run_store.clone(), address, connection))
-                .detach();
             return;
         }
+        let connection = Rc::new(Connection::new());
+        entry.connections.push(connection.clone());
+        self.open_connections.set(self.open_connections.get() + 1);
+        let task = self.clone().run_connection(run_store.clone(), address, connection);
+        self.driver.executor().spawn(task).detach();
     }
 
     /// Lets the queue of a run store wait for a connection, and closes an idle connection to make room for it. That
@@ -181,8 +125,7 @@
         let run_stores = self.run_stores.borrow();
         let idle = |connection: &&Rc<Connection>| connection.stage.get() == Stage::Idle;
         if let Some(connection) = run_stores.values().flat_map(|entry| &entry.connections).find(idle) {
-            connection.stage.set(Stage::Closing);
-            let _ = connection.abort.0.try_send(Reason::Full);
+            connection.close_idle(Reason::Full);
         }
         let (transport, id, limit) = (self.clone(), run_store.clone(), self.limits.get().connect_timeout);
         let expire = async move {
@@ -321,6 +264,7 @@
             match response {
                 Ok(response) => {
                     let keep_alive = response.keep_alive;
+                    let identified = returned_id(&response).is_some();
                     self.report_response(&job, response);
                     if connection.write_shut_down.get() || connection.shutdown_write.1.try_recv().is_ok() {
                         return Reason::Asked;
@@ -328,9 +272,13 @@
                     if !keep_alive {
                         return Reason::PeerClosed;
                     }
+                    if !identified || connection.request_ids.borrow().is_exhausted() {
+                        return Reason::Renewed;
+                    }
                 }
                 Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-                    // The response is not valid HTTP. The search may have run, and may still be running.
+                    // The response is not valid HTTP or belongs to another request. The search may have run, and may
+                    // still be running.
                     if !self.limits.get().parallel_attempts {
                         client.linger().await;
                     }
@@ -351,9 +299,9 @@
         address: SocketAddr,
         connection: &Connection,
     ) -> io::Result<Message> {
-        let host = address.to_string();
+        let (host, id) = (address.to_string(), job.request_id());
         let request = match job {
-            Job::Probe(_) => write::request("GET", "/", &host, &[], &[]),
+            Job::Probe(_) => write::request("GET", "/", &host, &[("X-Opaque-Id", &id)], &[]),
             Job::Search(call) => {
                 let line_end = call.payload.iter().position(|byte| *byte == b'\n').unwrap_or(0);
                 let parameters = String::from_utf8_lossy(&call.payload[..line_end]);
@@ -363,8 +311,7 @@
                      &allow_partial_search_results=false",
                     call.class, call.shard
                 );
-                let mut headers =
-                    vec![("Content-Type", "application/json"), ("X-Opaque-Id", call.query.as_str())];
+                let mut headers = vec![("Content-Type", "application/json"), ("X-Opaque-Id", &*id)];
                 headers.extend(call.key.as_deref().map(|key| ("Idempotency-Key", key)));
                 write::request("POST", &target, &host, &headers, &call.payload[line_end + 1..])
             }
@@ -374,6 +321,7 @@
             Job::Search(call) => duration_from_millis(call.allowed_until - started),
             Job::Probe(_) => self.limits.get().connect_timeout,
         };
+        connection.request_ids.borrow_mut().add(&id);
         let written = within(limit, client.write(&request)).await;
         if let Job::Search(call) = job {
             self.driver.progress(call, started, written.is_ok());
@@ -391,7 +339,13 @@
             shutdown_when_asked.await;
             future::pending().await
         };
-        future::or(client.read(), shutdown_when_asked).await
+        let match_response = |response: &Message| match job {
+            // Some run stores return the id with searches alone, and a surplus response to one carries its id.
+            Job::Probe(_) if returned_id(response).is_none() => ResponseMatch::Own,
+            _ => connection.request_ids.borrow().match_response(response, &id),
+        };
+        let response = client.read_matching(match_response);
+        future::or(response, shutdown_when_asked).await
     }
 
     fn report_response(&self, job: &Job, response: Message) {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -10,6 +10,7 @@
 mod operator;
 mod settings;
 mod stand_in;
+mod surplus;
 mod trace;
 mod upgrade;
 
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for run stores (on both wires), discovery and DNS on loopback, with one thread per connection.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -99,6 +100,11 @@
     held: BTreeSet<(usize, u32)>,
     /// Parts that arrived while a run store still held a part of the same shard.
     pub second_copies: usize,
+    /// Whether run stores repeat their last answer on a connection as soon as another part has arrived there, as if
+    /// the copy had been under way since that answer.
+    pub repeat_last_answer: bool,
+    /// Whether run stores return no `X-Opaque-Id`.
+    pub omit_opaque_ids: bool,
     /// The number of connections that each run store has accepted.
     pub connections: BTreeMap<usize, usize>,
     /// The run stores listed in DNS: instance, port, texts.
@@ -250,7 +256,13 @@
 fn serve_frames(backends: &Backends, store: usize, mut stream: TcpStream) -> io::Result<()> {
     let mut send = stream.try_clone()?;
     let mut reply = stream.try_clone()?;
-    let mut answer = move |letter: u8, rest: &[u8]| write_frame(&mut reply, letter, rest);
+    let last_answer = RefCell::new(Vec::new());
+    let mut answer = |letter: u8, rest: &[u8]| {
+        if letter == b'5' {
+            last_answer.replace(rest.to_vec());
+        }
+        write_frame(&mut reply, letter, rest)
+    };
     loop {
         let mut length = [0; 4];
         stream.read_exact(&mut length)?;
@@ -268,6 +280,9 @@
                 let key = key.map(|key| key.strip_prefix("k=").unwrap());
                 assert_eq!(size.parse::<usize>().unwrap(), query.len());
                 assert_eq!(id.rsplit_once('.').unwrap().1, shard);
+                if backends.read(|state| state.repeat_last_answer) && !last_answer.borrow().is_empty() {
+                    write_frame(&mut send, b'5', &last_answer.borrow())?;
+                }
                 match backends.record_part(store, shard.parse().unwrap(), timeout_ms, key) {
                     Behavior::Serve => {
                         let answered = format!("{id} S 7 util=0.50,qps=3\nv{shard}");
@@ -342,6 +357,29 @@
     Ok((first, head, body))
 }
 
+/// The answers of a run store to searches on one connection.
+struct SearchAnswers {
+    stream: TcpStream,
+    /// The `X-Opaque-Id` of the request that is being answered, as a header line, or nothing.
+    id_line: String,
+    last: Vec<u8>,
+}
+
+impl SearchAnswers {
+    /// Returns the bytes of an answer and keeps them as the last answer.
+    fn encode(&mut self, status: &str, body: &str) -> Vec<u8> {
+        let (id_line, length) = (&self.id_line, body.len());
+        self.last =
+            format!("HTTP/1.1 {status}\r\n{id_line}Content-Length: {length}\r\n\r\n{body}").into_bytes();
+        self.last.clone()
+    }
+
+    fn write(&mut self, status: &str, body: &str) -> io::Result<()> {
+        let answer = self.encode(status, body);
+        self.stream.write_all(&answer)
+    }
+}
+
 /// Writes an HTTP response.
 fn respond(stream: &mut TcpStream, status: &str, body: &str) -> io::Result<()> {
     let length = body.len();
@@ -364,12 +402,19 @@
 }
 
 fn serve_searches(backends: &Backends, store: usize, mut stream: TcpStream) -> io::Result<()> {
+    let mut answers = SearchAnswers { stream: stream.try_clone()?, id_line: String::new(), last: Vec::new() };
     loop {
         let (first, head, _) = read_http(&mut stream)?;
+        let id = head.lines().find_map(|line| line.strip_prefix("x-opaque-id: "));
+        let id = id.filter(|_| !backends.read(|state| state.omit_opaque_ids));
+        answers.id_line = id.map(|id| format!("X-Opaque-Id: {id}\r\n")).unwrap_or_default();
         if first.starts_with("GET / ") {
-            respond(&mut stream, "200 OK", "{}")?;
+            answers.write("200 OK", "{}")?;
             continue;
         }
+        if backends.read(|state| state.repeat_last_answer) {
+            stream.write_all(&answers.last)?;
+        }
         assert!(first.contains("/_search?"), "{first}");
         let shard: u32 = first.split("_shards:").nth(1).unwrap().split('&').next().unwrap().parse().unwrap();
         let key = head.lines().find_map(|line| line.strip_prefix("idempotency-key: "));
@@ -377,12 +422,11 @@
         match backends.record_part(store, shard, timeout_ms, key) {
             Behavior::Serve => {
                 thread::sleep(backends.read(|state| state.service_time));
-                respond(&mut stream, "200 OK", &search_response(shard))?;
+                answers.write("200 OK", &search_response(shard))?;
             }
             Behavior::ServeByteByByte => {
-                let body = search_response(shard);
-                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-                write_byte_by_byte(&mut stream, format!("{head}{body}").as_bytes())?;
+                let answer = answers.encode("200 OK", &search_response(shard));
+                write_byte_by_byte(&mut stream, &answer)?;
             }
             behavior @ (Behavior::StopReading | Behavior::GarbageThenStopReading) => {
                 if behavior == Behavior::GarbageThenStopReading {
@@ -393,17 +437,13 @@
                     Release::Read => {}
                     Release::Serve => {
                         backends.mark_ended(store);
-                        respond(&mut stream, "200 OK", &search_response(shard))?;
+                        answers.write("200 OK", &search_response(shard))?;
                     }
                     Release::Close => return Ok(()),
                 }
             }
-            Behavior::Error => {
-                respond(&mut stream, "500 Internal Server Error", "{\"error\":{},\"status\":500}")?
-            }
-            Behavior::Reject => {
-                respond(&mut stream, "429 Too Many Requests", "{\"error\":{},\"status\":429}")?
-            }
+            Behavior::Error => answers.write("500 Internal Server Error", "{\"error\":{},\"status\":500}")?,
+            Behavior::Reject => answers.write("429 Too Many Requests", "{\"error\":{},\"status\":429}")?,
             Behavior::NeverAnswer | Behavior::AnswerEvenShards | Behavior::Unresponsive => {
                 // The aggregator cancels a search by closing its connection.
                 let left = stream.read(&mut [0; 1])?;
