Send restricted repeats of a part on a connection that has not carried it

What callers saw: a part that may not be repeated ran more than once, and the client was told that a retry is safe while it ran.

Cause: frames name the part but not the attempt, and ConnectionState::process_frames takes an answer for the written call of its part. A run store's second copy of its answer to an earlier attempt counted as the answer to the next one on that connection. The router's pause before a repeat at the same run store counts from the earlier attempt's send, so an answer that comes late leaves no pause. Ruled out: equal ids of queries, as clients give each request a new one.

Change: where repeats are restricted (classes that may not be repeated, keyed ones, and sites that allow one attempt at a time) a repeat goes to a connection that has not carried the part, or to a new one within the limits. Other repeats stay where they were: a wrong end of theirs breaks nothing.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -164,6 +164,9 @@
     /// run, or if the class may always be repeated. The attempt may wait for a connection after the decision
     /// to send it, and its last byte has to be written by this time.
     pub allowed_until: Millis,
+    /// Whether repeats of the part are restricted, so that an answer to an earlier attempt of it must never be
+    /// taken for the answer to this one.
+    pub repeats_restricted: bool,
     /// The payload of the part.
     pub payload: Rc<[u8]>,
 }
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -3,7 +3,7 @@
 
 use super::ledger::OutstandingAttempt;
 use super::{Call, CallEnd, CallNo, Command, Core};
-use crate::api::{Attempt, Millis, Outcome, PartId, ReplicaId, ReplicaState};
+use crate::api::{Attempt, Millis, Outcome, PartId, RepeatPolicy, ReplicaId, ReplicaState};
 
 impl Core {
     /// Records an attempt of a part and sends it, unless it may not be sent.
@@ -50,6 +50,7 @@
             shard,
             until,
             allowed_until: repeat.allowed_until(may_have_run),
+            repeats_restricted: repeat != RepeatPolicy::Safe || !self.settings.parallel_attempts,
             payload: query.payload.clone(),
         }));
     }
--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -158,6 +158,14 @@
         self.calls.len()
     }
 
+    /// Returns whether an answer to a call could be taken for the answer to another one on this connection. Frames name
+    /// the part but not the attempt, and a run store may repeat its answer to an earlier attempt.
+    pub fn confuses(&self, call: &Call) -> bool {
+        let carries = || self.calls.values().any(|tracked| tracked.call.part == call.part);
+        let carried = || self.past_parts.iter().any(|(part, _)| *part == call.part);
+        call.repeats_restricted && call.query_attempt.1 > 0 && (carries() || carried())
+    }
+
     /// Returns whether nothing is outstanding, queued or being written.
     pub fn is_idle(&self) -> bool {
         self.calls.is_empty()
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -96,13 +96,18 @@
         })
     }
 
-    /// Returns a connection with free capacity, opens a new one, or returns why neither is possible.
+    /// Returns a connection with free capacity for a call or a probe, opens a new one, or returns why neither is
+    /// possible.
     ///
     /// While a connection is being established, further calls wait for it, so that a run store that has just started
     /// gets one new connection from this aggregator rather than one for each part. A single connection may become
     /// unresponsive: further calls then use a new one, and the answers there show the router which calls on the old
     /// one are lost.
-    fn connection(self: &Rc<Self>, run_store: &ReplicaId) -> Result<Rc<Connection>, NoConnection> {
+    fn connection(
+        self: &Rc<Self>,
+        run_store: &ReplicaId,
+        call: Option<&Call>,
+    ) -> Result<Rc<Connection>, NoConnection> {
         let mut run_stores = self.run_stores.borrow_mut();
         let entry =
             run_stores.get_mut(run_store).filter(|entry| !entry.retired).ok_or(NoConnection::Unavailable)?;
@@ -113,6 +118,7 @@
             c.closing.get().is_none()
                 && !state.is_presumed_dead()
                 && state.pending_calls() < self.limits.get().max_calls_per_connection
+                && !call.is_some_and(|call| state.confuses(call))
         };
         let is_usable = |c: &&Rc<Connection>| has_capacity(c) && !c.state.borrow().is_unresponsive(now);
         if let Some(connection) = entry.connections.iter().find(is_usable) {
@@ -213,7 +219,7 @@
 
     /// Queues a call on a connection, or returns it if the connection limit is reached.
     fn try_submit(self: &Rc<Self>, call: Call, enqueue: EnqueueFn) -> Option<(Call, EnqueueFn)> {
-        match self.connection(&call.run_store) {
+        match self.connection(&call.run_store, Some(&call)) {
             Ok(connection) => {
                 enqueue(&mut connection.state.borrow_mut(), call);
                 connection.wake();
@@ -443,7 +449,7 @@
     }
 
     fn probe(&self, run_store: &ReplicaId, no: CallNo) {
-        match self.connection(run_store) {
+        match self.connection(run_store, None) {
             Ok(connection) => {
                 connection.state.borrow_mut().push_load_probe(no);
                 connection.wake();
--- a/tests/late.rs
+++ b/tests/late.rs
@@ -46,6 +46,7 @@
         shard: 0,
         until,
         allowed_until,
+        repeats_restricted: false,
         payload: Rc::from(&b"\ntext"[..]),
     }
 }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -52,6 +52,7 @@
         shard: 0,
         until: 1e9,
         allowed_until: f64::INFINITY,
+        repeats_restricted: false,
         payload: Rc::from(&b"text"[..]),
     }
 }
@@ -523,3 +524,26 @@
     assert_eq!(link.receive(&frame("3S"), after(40)).0, [cancelled_end(1)]);
     assert_eq!(link.write_shutdown_at(), None);
 }
+
+/// Guards against a second attempt of a part on the connection of the first, where a copy of the first answer would
+/// count as its answer.
+#[test]
+fn a_connection_that_carried_a_part_confuses_its_restricted_repeats() {
+    let repeat = |restricted| Call {
+        query_attempt: (ironpaddle::core::QueryNo(1), 1),
+        repeats_restricted: restricted,
+        no: CallNo(2),
+        ..call(1)
+    };
+    let mut state = ConnectionState::new(1, Instant::now(), USUAL);
+    assert!(!state.confuses(&repeat(true)), "it has carried nothing");
+    state.push(call(1));
+    assert!(state.confuses(&repeat(true)), "the first attempt is queued");
+    state.next_frame(|_| 1);
+    state.mark_written(Instant::now());
+    let (ended, result) = state.receive(&frame("5q1.0 B 7 -\n"), Instant::now());
+    assert!(result.is_ok() && ended.len() == 1, "{ended:?}");
+    assert!(state.confuses(&repeat(true)), "the first attempt was answered");
+    assert!(!state.confuses(&repeat(false)), "a repeat that may always follow needs no new connection");
+    assert!(!state.confuses(&call(3)), "another part");
+}
--- a/tests/sockets/surplus.rs
+++ b/tests/sockets/surplus.rs
@@ -1,6 +1,7 @@
 //! Run stores that send more than the answer to a part: none of it may count as the answer to another part.
 
 use std::io::Write;
+use std::time::Duration;
 
 use serde_json::json;
 
@@ -114,3 +115,20 @@
     }
     assert_eq!(connections(&aggregator), QUERIES as usize);
 }
+
+/// Guards against a second copy of a rejection that counts as the answer to the next attempt of the same part at the
+/// same run store: a third attempt would run beside that one.
+#[test]
+fn a_copy_of_a_rejection_is_no_proof_that_the_next_attempt_has_not_run() {
+    for wire in WIRES {
+        let aggregator = start_with_copies(wire, 1);
+        aggregator.backends.set_behavior(0, Behavior::Reject);
+        let mut client = aggregator.send_query("shift-entry", &[0], 9000);
+        aggregator.backends.wait("the first attempt", |state| state.parts.len() == 1);
+        aggregator.backends.change(|state| state.service_time = Duration::from_millis(300));
+        aggregator.backends.set_behavior(0, Behavior::Serve);
+        let answer = read_answer(&mut client);
+        assert!(has_value_of(&answer, 0), "{wire:?}: {answer:?}");
+        assert_eq!(arrivals(&aggregator, 0), 2, "{wire:?}: the first is rejected, the second runs");
+    }
+}
