Count a restarted aggregator of the lab as unavailable until it listens

Cause: when a crash ended, demo.rs set the end of the aggregator's unavailable period to the time at which it was about to start the process, and extended it only after the start. A query that found nobody listening in between was checked against the shorter period and counted as lost. The aggregator did nothing wrong.

Change: the period stays open until the process answers health checks, also after a suspension; the checker has a call for the begin and one for the end.

--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -258,8 +258,19 @@
         self.with_state(|state| state.partitioned.insert(aggregator, ended));
     }
 
-    /// Records a period in which an aggregator is killed or suspended; replaces one with the same start.
-    pub fn set_unavailable(&self, aggregator: usize, from: f64, to: f64) {
+    /// Records that an aggregator is killed or suspended from a time on, until [`Checker::end_unavailable`].
+    pub fn begin_unavailable(&self, aggregator: usize, from: f64) {
+        self.set_unavailable(aggregator, from, f64::INFINITY);
+    }
+
+    /// Records that an aggregator serves again, after a period that began at `from`. A process that was started counts
+    /// as unavailable until it listens.
+    pub fn end_unavailable(&self, aggregator: usize, from: f64, to: f64) {
+        self.set_unavailable(aggregator, from, to);
+    }
+
+    /// Sets a period in which an aggregator is unavailable; replaces one with the same start.
+    fn set_unavailable(&self, aggregator: usize, from: f64, to: f64) {
         self.with_state(|state| {
             state.unavailable.retain(|(no, began, _)| (*no, *began) != (aggregator, from));
             state.unavailable.push((aggregator, from, to));
