Read a surplus response at the end of a connection like any other

Cause: read_matching told a response that ends with its connection from others, which nothing needs: the next read reports the end.

Change: the distinction goes. Behaviour stays.

Measured: the tests of tests/sockets/surplus.rs and copies.rs pass.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -81,17 +81,16 @@
         let mut bytes = [0; 8192];
         let invalid = |why: String| io::Error::new(io::ErrorKind::InvalidData, why);
         loop {
-            let (message, is_last) =
-                match parser.next_message().map_err(|error| invalid(error.to_string()))? {
-                    Some(message) => (message, false),
-                    None => match self.stream.read(&mut bytes).await? {
-                        0 => (parser.finish().ok_or(io::ErrorKind::UnexpectedEof)?, true),
-                        count => {
-                            parser.push(&bytes[..count]);
-                            continue;
-                        }
-                    },
-                };
+            let message = match parser.next_message().map_err(|error| invalid(error.to_string()))? {
+                Some(message) => message,
+                None => match self.stream.read(&mut bytes).await? {
+                    0 => parser.finish().ok_or(io::ErrorKind::UnexpectedEof)?,
+                    count => {
+                        parser.push(&bytes[..count]);
+                        continue;
+                    }
+                },
+            };
             // Informational (1xx) responses precede the response.
             if message.start.1.starts_with('1') {
                 continue;
@@ -102,8 +101,7 @@
                     let keep_alive = message.keep_alive && parser.buffered() == 0;
                     return Ok(Message { keep_alive, ..message });
                 }
-                ResponseMatch::Surplus if !is_last => {}
-                ResponseMatch::Surplus => return Err(io::ErrorKind::UnexpectedEof.into()),
+                ResponseMatch::Surplus => {}
                 ResponseMatch::Unknown => {
                     return Err(invalid("the response belongs to no request on its connection".into()))
                 }
