Let restricted repeats share a connection once no copy of the earlier answer can follow

Change: a second copy comes right after its answer, so it would be the next frame on the connection. A repeat avoids a connection only while the last frame there answered its part, or an attempt of the part is still on it.

--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -97,6 +97,8 @@
     writing: Vec<QueueItem>,
     /// Parts that were answered or given up, oldest first, and whether an answer has arrived.
     past_parts: VecDeque<(String, bool)>,
+    /// The part that the last received frame answered, if that frame was an answer to a part.
+    last_answered: Option<String>,
     buffer: Vec<u8>,
     /// When the incomplete frame at the start of the buffer began to arrive.
     partial_since: Option<Instant>,
@@ -119,6 +121,7 @@
             proof_probes_allowed: true,
             writing: Vec::new(),
             past_parts: VecDeque::new(),
+            last_answered: None,
             buffer: Vec::new(),
             partial_since: None,
             last_input: now,
@@ -158,12 +161,13 @@
         self.calls.len()
     }
 
-    /// Returns whether an answer to a call could be taken for the answer to another one on this connection. Frames name
-    /// the part but not the attempt, and a run store may repeat its answer to an earlier attempt.
+    /// Returns whether the answer to an earlier attempt could be taken for the answer to a call on this connection.
+    /// Frames name the part but not the attempt, and a run store may repeat an answer right after it, so that the copy
+    /// is the next frame that arrives.
     pub fn confuses(&self, call: &Call) -> bool {
-        let carries = || self.calls.values().any(|tracked| tracked.call.part == call.part);
-        let carried = || self.past_parts.iter().any(|(part, _)| *part == call.part);
-        call.repeats_restricted && call.query_attempt.1 > 0 && (carries() || carried())
+        let carries_part = || self.calls.values().any(|tracked| tracked.call.part == call.part);
+        let copy_may_follow = || self.last_answered.as_ref() == Some(&call.part);
+        call.repeats_restricted && call.query_attempt.1 > 0 && (carries_part() || copy_may_follow())
     }
 
     /// Returns whether nothing is outstanding, queued or being written.
@@ -359,8 +363,10 @@
     fn process_frames(&mut self, ended: &mut Vec<EndEvent>) -> Result<(), String> {
         while let Some(frame) = codec::take_frame(&mut self.buffer)? {
             self.partial_since = None;
+            self.last_answered = None;
             match frame {
                 Frame::PartEnded { part, status, load, value } => {
+                    self.last_answered = Some(part.clone());
                     let outstanding = |tracked: &&TrackedCall| {
                         tracked.call.part == part && tracked.stage.is_fully_written()
                     };
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -528,7 +528,7 @@
 /// Guards against a second attempt of a part on the connection of the first, where a copy of the first answer would
 /// count as its answer.
 #[test]
-fn a_connection_that_carried_a_part_confuses_its_restricted_repeats() {
+fn a_connection_that_last_answered_a_part_confuses_its_restricted_repeats() {
     let repeat = |restricted| Call {
         query_attempt: (ironpaddle::core::QueryNo(1), 1),
         repeats_restricted: restricted,
@@ -546,4 +546,12 @@
     assert!(state.confuses(&repeat(true)), "the first attempt was answered");
     assert!(!state.confuses(&repeat(false)), "a repeat that may always follow needs no new connection");
     assert!(!state.confuses(&call(3)), "another part");
+    state.push(call(3));
+    state.next_frame(|_| 1);
+    state.mark_written(Instant::now());
+    let (_, result) = state.receive(&frame("5q1.0 B 7 -\n"), Instant::now());
+    assert!(result.is_ok() && state.confuses(&repeat(true)), "a copy came, and another may follow it");
+    let (ended, _) = state.receive(&answer("q3.0", 'S'), Instant::now());
+    assert_eq!(ended.len(), 1);
+    assert!(!state.confuses(&repeat(true)), "a copy would have come before the answer to another part");
 }
