--- /dev/null
+++ b/review/driver-2/src/aggregator.rs
@@ -0,0 +1,83 @@
+//! Starts the program under review with the command of the deploy file, and ends it.
+
+use std::fs;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// A running aggregator.
+pub struct Aggregator {
+    pub child: Child,
+    pub listen: SocketAddr,
+    pub operator: SocketAddr,
+    folder: PathBuf,
+}
+
+/// Returns an address on loopback with a free port.
+pub fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+/// Returns the value of `run` in the deploy file.
+fn run_command(root: &Path) -> io::Result<String> {
+    let text = fs::read_to_string(root.join("deploy/balancer.toml"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("run")?.trim_start().strip_prefix('='));
+    let quoted = line.and_then(|line| line.split('"').nth(1));
+    quoted.map(str::to_string).ok_or_else(|| io::Error::other("the deploy file names no run command"))
+}
+
+impl Aggregator {
+    /// Starts an aggregator. `rest` holds the keys of the configuration beside name, addresses and seed.
+    pub fn start(root: &Path, name: &str, rest: &str) -> io::Result<Aggregator> {
+        let (listen, operator) = (free_address()?, free_address()?);
+        let folder = std::env::temp_dir().join(format!("review-2-{}-{name}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let config = folder.join("config.json");
+        let text = format!(
+            "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"operator\":\"{operator}\",\"seed\":\"8c1f30d27a5be964\",{rest}}}"
+        );
+        fs::write(&config, text)?;
+        let log = fs::File::create(folder.join("log.txt"))?;
+        let child = Command::new("/bin/sh")
+            .args(["-c", &run_command(root)?])
+            .current_dir(root)
+            .env("GW_NAME", name)
+            .env("GW_LISTEN", listen.to_string())
+            .env("GW_CONFIG", &config)
+            .env("TMPDIR", &folder)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Aggregator { child, listen, operator, folder })
+    }
+
+    /// Returns the resident memory of the process in kB, or `None` if it has ended.
+    pub fn resident_kb(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?.split_whitespace().next()?.parse().ok()
+    }
+
+    /// Returns how the process ended, if it has.
+    pub fn ended(&mut self) -> Option<String> {
+        self.child.try_wait().ok().flatten().map(|status| status.to_string())
+    }
+}
+
+impl Drop for Aggregator {
+    /// Ends the process, and removes its folder.
+    fn drop(&mut self) {
+        if self.child.try_wait().ok().flatten().is_none() {
+            let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+            let end = Instant::now() + Duration::from_secs(5);
+            while Instant::now() < end && self.child.try_wait().ok().flatten().is_none() {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
