--- a/review/driver-2/src/client.rs
+++ b/review/driver-2/src/client.rs
@@ -17,6 +17,8 @@
     /// How long the client waits, in milliseconds.
     pub timeout: u64,
     pub shards: Vec<usize>,
+    /// What each part has to carry.
+    pub filter: &'static str,
 }
 
 impl Query {
@@ -25,7 +27,7 @@
         let mass = 1.0 / self.shards.len() as f64;
         let slices: Vec<String> =
             self.shards.iter().map(|shard| format!("{{\"slice\":{shard},\"mass\":{mass}}}")).collect();
-        let body = format!("{{\"slices\":[{}],\"filter\":\"c41e77d0\"}}", slices.join(","));
+        let body = format!("{{\"slices\":[{}],\"filter\":\"{}\"}}", slices.join(","), self.filter);
         format!(
             "POST /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {}\r\nX-Priority-Class: {class}\r\n\
              X-Tenant-Id: {}\r\nX-Timeout: {}m\r\nContent-Length: {}\r\n\r\n{body}",
--- a/review/driver-2/src/crowd.rs
+++ b/review/driver-2/src/crowd.rs
@@ -105,7 +105,7 @@
 fn query(id: &str, no: usize) -> Query {
     let shard = no * 5 % (STORES * 2);
     let shards = (0..3).map(|next| (shard + next) % (STORES * 2)).collect();
-    Query { id: id.into(), class: "statement-view", tenant: "obedinen", timeout: TIMEOUT_MS, shards }
+    Query { id: id.into(), class: "statement-view", tenant: "obedinen", timeout: TIMEOUT_MS, shards, filter: "c41e77d0" }
 }
 
 /// Connects, sends the first half of a request and returns the connection.
--- a/review/driver-2/src/main.rs
+++ b/review/driver-2/src/main.rs
@@ -5,9 +5,13 @@
 mod client;
 mod crowd;
 mod discovery;
+mod dns;
+mod foreign;
 mod http;
 mod memory;
 mod record;
+mod removed;
+mod search_store;
 mod settings;
 mod store;
 
@@ -44,6 +48,8 @@
     let result = match number.as_str() {
         "6" => crowd::play(&case),
         "7" => memory::play(&case),
+        "8" => foreign::play(&case),
+        "9" => removed::play(&case),
         _ => Err(format!("there is no case {number}")),
     };
     match result {
--- a/review/driver-2/src/memory.rs
+++ b/review/driver-2/src/memory.rs
@@ -141,7 +141,7 @@
 fn query(no: usize) -> Query {
     let shard = no * 5 % (STORES * 2);
     let shards = (0..3).map(|next| (shard + next) % (STORES * 2)).collect();
-    Query { id: format!("usual{no:03}"), class: "statement-view", tenant: "obedinen", timeout: 2000, shards }
+    Query { id: format!("usual{no:03}"), class: "statement-view", tenant: "obedinen", timeout: 2000, shards, filter: "c41e77d0" }
 }
 
 /// Connects, sends all but the end of a long request and returns the connection.
