--- a/review/driver-2/src/crowd.rs
+++ b/review/driver-2/src/crowd.rs
@@ -18,7 +18,10 @@
 /// Descriptors of the aggregator, the least that the pages give.
 const SOCKETS: usize = 256;
 /// Clients that send half a request and stay.
-const HALF_REQUESTS: usize = 250;
+const HALF_REQUESTS: usize = 230;
+const BETWEEN_HALF_REQUESTS: Duration = Duration::from_micros(300);
+/// When the usual clients begin, from the first of these on.
+const USUAL_AFTER: Duration = Duration::from_millis(250);
 /// The usual clients' queries: their number and the time between two.
 const QUERIES: usize = 20;
 const BETWEEN_QUERIES: Duration = Duration::from_millis(50);
@@ -53,14 +56,20 @@
     }
     let held = Arc::new(Mutex::new(Vec::new()));
     if case.trouble {
-        for no in 0..HALF_REQUESTS {
-            let stream = half_request(aggregator.listen, no).map_err(why)?;
-            if let Ok(mut held) = held.lock() {
-                held.push(stream);
+        let (to, held, record) = (aggregator.listen, held.clone(), record.clone());
+        read_answers(held.clone());
+        thread::spawn(move || {
+            for no in 0..HALF_REQUESTS {
+                match half_request(to, no) {
+                    Ok(stream) => held.lock().map(|mut held| held.push(stream)).unwrap_or_default(),
+                    Err(error) => record.line(&format!("client {no} with half a request: {error}")),
+                }
+                // Not all at once, so that the listen queue has room for each of them.
+                thread::sleep(BETWEEN_HALF_REQUESTS);
             }
-        }
-        record.tell(&format!("{HALF_REQUESTS} clients have sent half a request and stay"));
-        read_answers(&held)?;
+            record.tell(&format!("{HALF_REQUESTS} clients have sent half a request and stay"));
+        });
+        thread::sleep(USUAL_AFTER);
     }
     let mut asked = Vec::new();
     for no in 0..QUERIES {
@@ -113,17 +122,12 @@
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(5))?;
     let bytes = query(&format!("half{no:03}"), no).request();
     stream.write_all(&bytes[..bytes.len() / 2])?;
+    stream.set_nonblocking(true)?;
     Ok(stream)
 }
 
 /// Reads whatever the clients with half a request are sent. They leave their connections open for 10 s.
-fn read_answers(held: &Arc<Mutex<Vec<TcpStream>>>) -> Result<(), String> {
-    let held = held.clone();
-    let streams = held.lock().map_err(|_| "a lock failed")?;
-    for stream in streams.iter() {
-        stream.set_nonblocking(true).map_err(|error| error.to_string())?;
-    }
-    drop(streams);
+fn read_answers(held: Arc<Mutex<Vec<TcpStream>>>) {
     thread::spawn(move || {
         let end = Instant::now() + Duration::from_secs(10);
         let mut bytes = [0; 4096];
@@ -136,5 +140,4 @@
             thread::sleep(Duration::from_millis(20));
         }
     });
-    Ok(())
 }
