--- a/review/driver-2/src/aggregator.rs
+++ b/review/driver-2/src/aggregator.rs
@@ -9,10 +9,12 @@
 
 /// A running aggregator.
 pub struct Aggregator {
+    name: String,
     pub child: Child,
     pub listen: SocketAddr,
     pub operator: SocketAddr,
     folder: PathBuf,
+    log_file: PathBuf,
 }
 
 /// Returns an address on loopback with a free port.
@@ -31,27 +33,62 @@
 impl Aggregator {
     /// Starts an aggregator. `rest` holds the keys of the configuration beside name, addresses and seed.
     pub fn start(root: &Path, name: &str, rest: &str) -> io::Result<Aggregator> {
-        let (listen, operator) = (free_address()?, free_address()?);
         let folder = std::env::temp_dir().join(format!("review-2-{}-{name}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        let config = folder.join("config.json");
+        Aggregator::spawn(root, name, rest, free_address()?, folder, 1)
+    }
+
+    /// Starts a further process of this aggregator, with the same addresses but a new second one, and the same `$TMPDIR`.
+    pub fn start_successor(&self, root: &Path, rest: &str, number: u32) -> io::Result<Aggregator> {
+        Aggregator::spawn(root, &self.name, rest, self.listen, self.folder.clone(), number)
+    }
+
+    fn spawn(
+        root: &Path,
+        name: &str,
+        rest: &str,
+        listen: SocketAddr,
+        folder: PathBuf,
+        number: u32,
+    ) -> io::Result<Aggregator> {
+        let operator = free_address()?;
+        let config = folder.join(format!("config-{number}.json"));
         let text = format!(
             "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"operator\":\"{operator}\",\"seed\":\"8c1f30d27a5be964\",{rest}}}"
         );
         fs::write(&config, text)?;
-        let log = fs::File::create(folder.join("log.txt"))?;
+        let log_file = folder.join(format!("log-{number}.txt"));
+        let log = fs::File::create(&log_file)?;
         let child = Command::new("/bin/sh")
             .args(["-c", &run_command(root)?])
             .current_dir(root)
             .env("GW_NAME", name)
             .env("GW_LISTEN", listen.to_string())
+            .env("GW_OPERATOR", operator.to_string())
             .env("GW_CONFIG", &config)
             .env("TMPDIR", &folder)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        Ok(Aggregator { child, listen, operator, folder })
+        Ok(Aggregator { name: name.to_string(), child, listen, operator, folder, log_file })
+    }
+
+    /// Sends SIGTERM to the process.
+    pub fn terminate(&self) {
+        let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    }
+
+    /// Sends SIGKILL to the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Returns the last line that the process wrote.
+    pub fn last_log_line(&self) -> String {
+        let text = fs::read_to_string(&self.log_file).unwrap_or_default();
+        text.lines().last().unwrap_or("").to_string()
     }
 
     /// Returns the resident memory of the process in kB, or `None` if it has ended.
@@ -70,7 +107,7 @@
     /// Ends the process, and removes its folder.
     fn drop(&mut self) {
         if self.child.try_wait().ok().flatten().is_none() {
-            let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+            self.terminate();
             let end = Instant::now() + Duration::from_secs(5);
             while Instant::now() < end && self.child.try_wait().ok().flatten().is_none() {
                 std::thread::sleep(Duration::from_millis(20));
--- a/review/driver-2/src/client.rs
+++ b/review/driver-2/src/client.rs
@@ -61,7 +61,12 @@
     let answer = match read_message(&mut stream, &mut Vec::new()) {
         Ok(answer) => {
             let at = record.now();
-            record.line(&format!("query {} answered with {} after {:.0} ms", query.id, answer.status(), at - sent));
+            record.line(&format!(
+                "query {} answered with {} after {:.0} ms",
+                query.id,
+                answer.status(),
+                at - sent
+            ));
             Ok((at, answer.status()))
         }
         Err(error) => {
--- a/review/driver-2/src/crowd.rs
+++ b/review/driver-2/src/crowd.rs
@@ -33,7 +33,11 @@
 pub fn play(case: &Case) -> Result<Vec<String>, String> {
     let why = |error: std::io::Error| error.to_string();
     let record = &case.record;
-    let service = Service { work: Duration::from_millis(60), answer_report: "-", probe_report: "inflight=1,latency_ms=60" };
+    let service = Service {
+        work: Duration::from_millis(60),
+        answer_report: "-",
+        probe_report: "inflight=1,latency_ms=60",
+    };
     let agent = Discovery::start().map_err(why)?;
     let mut stores = Vec::new();
     for no in 0..STORES {
@@ -104,7 +108,9 @@
             Err(_) => {}
         }
     }
-    record.tell(&format!("{taken} of {QUERIES} usual queries were taken; the latest answer came after {latest:.0} ms"));
+    record.tell(&format!(
+        "{taken} of {QUERIES} usual queries were taken; the latest answer came after {latest:.0} ms"
+    ));
     if let Some(status) = aggregator.ended() {
         broken.push(format!("the aggregator has ended: {status}"));
     }
@@ -114,7 +120,14 @@
 fn query(id: &str, no: usize) -> Query {
     let shard = no * 5 % (STORES * 2);
     let shards = (0..3).map(|next| (shard + next) % (STORES * 2)).collect();
-    Query { id: id.into(), class: "statement-view", tenant: "obedinen", timeout: TIMEOUT_MS, shards, filter: "c41e77d0" }
+    Query {
+        id: id.into(),
+        class: "statement-view",
+        tenant: "obedinen",
+        timeout: TIMEOUT_MS,
+        shards,
+        filter: "c41e77d0",
+    }
 }
 
 /// Connects, sends the first half of a request and returns the connection.
--- a/review/driver-2/src/discovery.rs
+++ b/review/driver-2/src/discovery.rs
@@ -88,10 +88,17 @@
             .filter(|(index, ..)| after.is_none_or(|after| *index > after))
             .map(|(_, _, line)| line.as_str())
             .collect();
-        let body =
-            format!("{{\"index\":{},\"snapshot\":{},\"endpoints\":[{}]}}", state.index, after.is_none(), lines.join(","));
+        let body = format!(
+            "{{\"index\":{},\"snapshot\":{},\"endpoints\":[{}]}}",
+            state.index,
+            after.is_none(),
+            lines.join(",")
+        );
         drop(state);
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
         stream.write_all((head + &body).as_bytes())?;
     }
 }
--- a/review/driver-2/src/dns.rs
+++ b/review/driver-2/src/dns.rs
@@ -94,9 +94,11 @@
     let mut state = state.lock().ok()?;
     let of = |known: &Instance| name == format!("{}.{SERVICE}", known.0);
     let answers: Vec<Vec<u8>> = match kind {
-        12 if name == SERVICE => {
-            state.instances.iter().map(|(instance, ..)| encode_name(&format!("{instance}.{SERVICE}"))).collect()
-        }
+        12 if name == SERVICE => state
+            .instances
+            .iter()
+            .map(|(instance, ..)| encode_name(&format!("{instance}.{SERVICE}")))
+            .collect(),
         33 => {
             let service = |(instance, port, _): &Instance| {
                 let mut data = vec![0, 0, 0, 0];
@@ -108,7 +110,13 @@
         }
         16 => {
             let texts = |(_, _, group): &Instance| {
-                [text(&format!("group={group}")), text("zone=jhb-dc1"), text("status=ready"), text("since_ms=0")].concat()
+                [
+                    text(&format!("group={group}")),
+                    text("zone=jhb-dc1"),
+                    text("status=ready"),
+                    text("since_ms=0"),
+                ]
+                .concat()
             };
             state.instances.iter().filter(|known| of(known)).map(texts).collect()
         }
--- a/review/driver-2/src/foreign.rs
+++ b/review/driver-2/src/foreign.rs
@@ -92,7 +92,14 @@
 }
 
 fn query(id: &str, tenant: &'static str, filter: &'static str) -> Query {
-    Query { id: id.into(), class: "run-search", tenant, timeout: 4000, shards: (0..STORES * 2).collect(), filter }
+    Query {
+        id: id.into(),
+        class: "run-search",
+        tenant,
+        timeout: 4000,
+        shards: (0..STORES * 2).collect(),
+        filter,
+    }
 }
 
 /// Sends a request, and the same again as soon as it is turned away, until it gets another answer than 409.
@@ -103,7 +110,10 @@
         tries += 1;
         let answer = send(to, query).map_err(|error| error.to_string())?;
         if answer.0 != 409 {
-            record.line(&format!("the bad client's try {tries} with id {} was answered with {}: {}", query.id, answer.0, answer.1));
+            record.line(&format!(
+                "the bad client's try {tries} with id {} was answered with {}: {}",
+                query.id, answer.0, answer.1
+            ));
             return Ok(answer);
         }
         if tries == 1 {
--- a/review/driver-2/src/http.rs
+++ b/review/driver-2/src/http.rs
@@ -54,7 +54,8 @@
     let mut stream = TcpStream::connect_timeout(&to, limit)?;
     stream.set_read_timeout(Some(limit))?;
     stream.set_nodelay(true)?;
-    let text = format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    let text =
+        format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     stream.write_all(text.as_bytes())?;
     read_message(&mut stream, &mut Vec::new())
 }
--- a/review/driver-2/src/main.rs
+++ b/review/driver-2/src/main.rs
@@ -14,6 +14,7 @@
 mod search_store;
 mod settings;
 mod store;
+mod upgrades;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,7 +32,8 @@
 
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
-    let (Some(number), Some(root), Some(folder)) = (arguments.next(), arguments.next(), arguments.next()) else {
+    let (Some(number), Some(root), Some(folder)) = (arguments.next(), arguments.next(), arguments.next())
+    else {
         eprintln!("usage: review-driver-2 NUMBER ROOT FOLDER");
         return ExitCode::from(2);
     };
@@ -50,6 +52,7 @@
         "7" => memory::play(&case),
         "8" => foreign::play(&case),
         "9" => removed::play(&case),
+        "10" => upgrades::play(&case),
         _ => Err(format!("there is no case {number}")),
     };
     match result {
--- a/review/driver-2/src/memory.rs
+++ b/review/driver-2/src/memory.rs
@@ -31,7 +31,11 @@
 pub fn play(case: &Case) -> Result<Vec<String>, String> {
     let why = |error: std::io::Error| error.to_string();
     let record = &case.record;
-    let service = Service { work: Duration::from_millis(60), answer_report: "-", probe_report: "inflight=1,latency_ms=60" };
+    let service = Service {
+        work: Duration::from_millis(60),
+        answer_report: "-",
+        probe_report: "inflight=1,latency_ms=60",
+    };
     let agent = Discovery::start().map_err(why)?;
     let mut stores = Vec::new();
     for no in 0..STORES {
@@ -47,7 +51,8 @@
     }
     thread::sleep(Duration::from_millis(500));
     // The platform: it kills the aggregator once it is over its memory.
-    let (over, killed_at, most) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(None)), Arc::new(AtomicU64::new(0)));
+    let (over, killed_at, most) =
+        (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(None)), Arc::new(AtomicU64::new(0)));
     let aggregator = Arc::new(Mutex::new(aggregator));
     let platform = {
         let (record, aggregator) = (record.clone(), aggregator.clone());
@@ -59,7 +64,10 @@
                     most.fetch_max(used, Ordering::AcqRel);
                     if used > MEMORY_MB * 1024 {
                         let _ = aggregator.child.kill();
-                        record.tell(&format!("the aggregator uses {} MB of {MEMORY_MB} and is killed", used / 1024));
+                        record.tell(&format!(
+                            "the aggregator uses {} MB of {MEMORY_MB} and is killed",
+                            used / 1024
+                        ));
                         if let Ok(mut killed_at) = killed_at.lock() {
                             *killed_at = Some((record.now(), used));
                         }
@@ -141,7 +149,14 @@
 fn query(no: usize) -> Query {
     let shard = no * 5 % (STORES * 2);
     let shards = (0..3).map(|next| (shard + next) % (STORES * 2)).collect();
-    Query { id: format!("usual{no:03}"), class: "statement-view", tenant: "obedinen", timeout: 2000, shards, filter: "c41e77d0" }
+    Query {
+        id: format!("usual{no:03}"),
+        class: "statement-view",
+        tenant: "obedinen",
+        timeout: 2000,
+        shards,
+        filter: "c41e77d0",
+    }
 }
 
 /// Connects, sends all but the end of a long request and returns the connection.
--- a/review/driver-2/src/removed.rs
+++ b/review/driver-2/src/removed.rs
@@ -27,7 +27,8 @@
     for no in 0..STORES {
         stores.push(SearchStore::start(&format!("s-{no}"), Duration::from_millis(30), record).map_err(why)?);
     }
-    let instances = stores.iter().enumerate().map(|(no, store)| (store.name.clone(), store.address.port(), no)).collect();
+    let instances =
+        stores.iter().enumerate().map(|(no, store)| (store.name.clone(), store.address.port(), no)).collect();
     let dns = Dns::start(instances, record).map_err(why)?;
     let rest = format!(
         "\"api\":\"opensearch\",\"dns_sd\":{{\"server\":\"{}\",\"service\":\"{SERVICE}\",\"refresh_ms\":2000}},{}",
--- a/review/driver-2/src/store.rs
+++ b/review/driver-2/src/store.rs
@@ -8,14 +8,10 @@
 
 use crate::record::Record;
 
-/// A part that arrived with the last byte of its frame: its time, its id and the store's name.
-pub type Arrival = (f64, String, String);
-
 /// A running stand-in.
 pub struct Store {
     pub name: String,
     pub address: SocketAddr,
-    arrivals: Arc<Mutex<Vec<Arrival>>>,
 }
 
 /// How a stand-in serves a part.
@@ -31,9 +27,10 @@
 
 /// Returns the value that a run store makes for a part of a query with this text.
 pub fn value(part: &str, text: &[u8]) -> String {
-    let hash = part.bytes().chain(text.iter().copied()).fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3)
-    });
+    let hash = part
+        .bytes()
+        .chain(text.iter().copied())
+        .fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3));
     format!("{hash:016x}")
 }
 
@@ -42,23 +39,16 @@
     pub fn start(name: &str, service: Service, record: &Arc<Record>) -> io::Result<Store> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let arrivals = Arc::new(Mutex::new(Vec::new()));
-        let (name, kept, record) = (name.to_string(), arrivals.clone(), record.clone());
-        let own = name.clone();
+        let (own, record) = (name.to_string(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (name, kept, record) = (own.clone(), kept.clone(), record.clone());
+                let (name, record) = (own.clone(), record.clone());
                 thread::spawn(move || {
-                    let _ = serve(stream, &name, service, &kept, &record);
+                    let _ = serve(stream, &name, service, &record);
                 });
             }
         });
-        Ok(Store { name, address, arrivals })
-    }
-
-    /// Returns the parts that have arrived.
-    pub fn arrivals(&self) -> Vec<Arrival> {
-        self.arrivals.lock().map(|all| all.clone()).unwrap_or_default()
+        Ok(Store { name: name.to_string(), address })
     }
 }
 
@@ -72,13 +62,7 @@
     }
 }
 
-fn serve(
-    mut stream: TcpStream,
-    name: &str,
-    service: Service,
-    kept: &Mutex<Vec<Arrival>>,
-    record: &Arc<Record>,
-) -> io::Result<()> {
+fn serve(mut stream: TcpStream, name: &str, service: Service, record: &Arc<Record>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let out = Arc::new(Mutex::new(stream.try_clone()?));
     loop {
@@ -92,15 +76,15 @@
                 while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
                     let line = String::from_utf8_lossy(&rest[..end]).into_owned();
                     let words: Vec<&str> = line.split(' ').collect();
-                    let [id, shard, list, size] = words[..] else { return write_frame(&out, b'X', b"malformed") };
+                    let [id, shard, list, size] = words[..] else {
+                        return write_frame(&out, b'X', b"malformed");
+                    };
                     let size: usize = size.parse().map_err(|_| io::ErrorKind::InvalidData)?;
                     let text = rest.get(end + 1..end + 1 + size).ok_or(io::ErrorKind::InvalidData)?;
-                    if let Ok(mut kept) = kept.lock() {
-                        kept.push((record.now(), id.to_string(), name.to_string()));
-                    }
                     record.line(&format!("{name} got part {id} shard {shard} {list}"));
                     let answer = format!("{id} S 1 {}\n{}", service.answer_report, value(id, text));
-                    let (out, record, name, id) = (out.clone(), record.clone(), name.to_string(), id.to_string());
+                    let (out, record, name, id) =
+                        (out.clone(), record.clone(), name.to_string(), id.to_string());
                     thread::spawn(move || {
                         thread::sleep(service.work);
                         if write_frame(&out, b'5', answer.as_bytes()).is_ok() {
@@ -110,7 +94,8 @@
                     rest = &rest[end + 1 + size..];
                 }
             }
-            b'2' => record.line(&format!("{name} was told that part {} is given up", String::from_utf8_lossy(rest))),
+            b'2' => record
+                .line(&format!("{name} was told that part {} is given up", String::from_utf8_lossy(rest))),
             b'3' => write_frame(&out, b'3', b"S")?,
             b'4' => write_frame(&out, b'4', service.probe_report.as_bytes())?,
             _ => return write_frame(&out, b'X', b"unknown letter"),
