--- a/review/driver-2/src/aggregator.rs
+++ b/review/driver-2/src/aggregator.rs
@@ -5,8 +5,13 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
+/// The ports that aggregators listen on.
+const FIRST_PORT: u16 = 14_000;
+const PORTS: u16 = 12_000;
+
 /// A running aggregator.
 pub struct Aggregator {
     name: String,
@@ -17,9 +22,18 @@
     log_file: PathBuf,
 }
 
-/// Returns an address on loopback with a free port.
+/// Returns an address on loopback with a free port, below the ports that the system gives to connections.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    for _ in 0..PORTS {
+        let offset =
+            (std::process::id() as u16).wrapping_mul(97).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset % PORTS));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
 }
 
 /// Returns the value of `run` in the deploy file.
