--- a/review/driver-2/src/memory.rs
+++ b/review/driver-2/src/memory.rs
@@ -18,9 +18,10 @@
 const STORES: usize = 12;
 /// Descriptors and memory of the aggregator, inside the ranges of the pages: 256 to 1,024, and 32 to 192 MB.
 const SOCKETS: usize = 1024;
-const MEMORY_MB: u64 = 48;
+const MEMORY_MB: u64 = 40;
 /// Clients that send most of a long request and stay.
 const HALF_REQUESTS: usize = 600;
+const BETWEEN_HALF_REQUESTS: Duration = Duration::from_micros(300);
 /// The stated length of their bodies, the most that the pages allow, and how much of it they send.
 const BODY: usize = 64 * 1024;
 const SENT: usize = 65_000;
@@ -126,6 +127,8 @@
 ) -> Result<Vec<TcpStream>, String> {
     let mut held = Vec::new();
     for no in 0..HALF_REQUESTS {
+        // Not all at once, so that the listen queue has room for each of them.
+        thread::sleep(BETWEEN_HALF_REQUESTS);
         match half_request(to, no) {
             Ok(stream) => held.push(stream),
             // Once the aggregator has been killed, no further connection comes up.
