--- a/review/driver-2/src/upgrades.rs
+++ b/review/driver-2/src/upgrades.rs
@@ -23,7 +23,7 @@
 const KILLED_AFTER: Duration = Duration::from_millis(3700);
 /// When the second upgrade begins, after the first new process has said yes; without the disruption the first old process is
 /// gone by then.
-const SECOND_AFTER: Duration = Duration::from_millis(500);
+const SECOND_AFTER: Duration = Duration::from_millis(300);
 const SECOND_AFTER_IN_PEACE: Duration = Duration::from_secs(6);
 
 pub fn play(case: &Case) -> Result<Vec<String>, String> {
