Keep late answers apart from a later request that has the same id

Cause: frames name a part by the client's id and the shard. process_frames (src/transport/frames/link.rs) took an answer for the outstanding call of that name, though past_parts knew of an earlier part of that name, given up and not answered; confuses() looked at repeated attempts of restricted classes alone. Ruled out: front and core (they number queries), run stores (the case's record).

Change: past and answered parts carry the number of their query, and a call is not put on a connection where an answer to another query's part of that name may still come. Beyond four connections of a run store such an attempt ends as not sent, so that one client cannot take the connections of others.

On the sources before, a_request_with_the_id_of_one_whose_client_left_gets_its_own_values fails: all four values are text-of-the-first. It passes on OpenSearch without the fix.

--- a/src/transport/frames/link.rs
+++ b/src/transport/frames/link.rs
@@ -11,7 +11,7 @@
 
 use super::codec::{self, Frame, Part, PartStatus};
 use crate::api::{LoadReport, Millis, Outcome};
-use crate::core::{Call, CallEnd, CallNo};
+use crate::core::{Call, CallEnd, CallNo, QueryNo};
 
 /// Number of finished parts whose ids are remembered, to tell a late or repeated answer from a malformed one.
 const MAX_PAST_PARTS: usize = 512;
@@ -59,6 +59,32 @@
     requeued: bool,
 }
 
+/// A part of a query. Run stores know only its id, which a later query has too if a client uses its id again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct QueryPart {
+    id: String,
+    query: QueryNo,
+}
+
+impl QueryPart {
+    fn of(call: &Call) -> Self {
+        QueryPart { id: call.part.clone(), query: call.query_attempt.0 }
+    }
+
+    /// Returns whether an answer to this part could be taken for the answer to a call of another query.
+    fn is_mistaken_for(&self, call: &Call) -> bool {
+        self.id == call.part && self.query != call.query_attempt.0
+    }
+}
+
+/// A part that was answered or given up.
+#[derive(Debug)]
+struct PastPart {
+    part: QueryPart,
+    /// Whether an answer has arrived.
+    answered: bool,
+}
+
 #[derive(Debug, Clone, PartialEq)]
 enum QueueItem {
     Call(CallNo),
@@ -95,10 +121,10 @@
     /// Whether probes that prove calls to be over may be sent.
     proof_probes_allowed: bool,
     writing: Vec<QueueItem>,
-    /// Parts that were answered or given up, oldest first, and whether an answer has arrived.
-    past_parts: VecDeque<(String, bool)>,
+    /// Parts that were answered or given up, oldest first.
+    past_parts: VecDeque<PastPart>,
     /// The part that the last received frame answered, if that frame was an answer to a part.
-    last_answered: Option<String>,
+    last_answered: Option<QueryPart>,
     buffer: Vec<u8>,
     /// When the incomplete frame at the start of the buffer began to arrive.
     partial_since: Option<Instant>,
@@ -161,12 +187,27 @@
         self.calls.len()
     }
 
-    /// Returns whether the answer to an earlier attempt could be taken for the answer to a call on this connection.
-    /// Frames name the part but not the attempt, and a run store may repeat an answer right after it, so that the copy
-    /// is the next frame that arrives.
+    /// Returns whether an answer to an earlier call could be taken for the answer to a call on this connection. Frames
+    /// name the part but neither the query nor the attempt, and a run store may repeat an answer right after it, so that
+    /// the copy is the next frame that arrives.
     pub fn confuses(&self, call: &Call) -> bool {
+        self.confuses_queries(call) || self.confuses_attempts(call)
+    }
+
+    /// Returns whether an answer to an earlier query with the same id may still arrive.
+    pub fn confuses_queries(&self, call: &Call) -> bool {
+        let carries_part =
+            self.calls.values().any(|tracked| QueryPart::of(&tracked.call).is_mistaken_for(call));
+        let late_answer_may_follow =
+            self.past_parts.iter().any(|past| !past.answered && past.part.is_mistaken_for(call));
+        let copy_may_follow = self.last_answered.as_ref().is_some_and(|part| part.is_mistaken_for(call));
+        carries_part || late_answer_may_follow || copy_may_follow
+    }
+
+    /// Returns whether an answer to an earlier attempt of the part may still arrive, where that matters.
+    fn confuses_attempts(&self, call: &Call) -> bool {
         let carries_part = || self.calls.values().any(|tracked| tracked.call.part == call.part);
-        let copy_may_follow = || self.last_answered.as_ref() == Some(&call.part);
+        let copy_may_follow = || self.last_answered.as_ref().is_some_and(|part| part.id == call.part);
         call.repeats_restricted && call.query_attempt.1 > 0 && (carries_part() || copy_may_follow())
     }
 
@@ -239,11 +280,11 @@
         numbers.iter().filter_map(|no| self.calls.remove(no)).map(|tracked| tracked.call).collect()
     }
 
-    fn remember_past(&mut self, part: String, answered: bool) {
+    fn remember_past(&mut self, part: QueryPart, answered: bool) {
         if self.past_parts.len() == MAX_PAST_PARTS {
             self.past_parts.pop_front();
         }
-        self.past_parts.push_back((part, answered));
+        self.past_parts.push_back(PastPart { part, answered });
     }
 
     /// Returns whether an answer to a call or a probe is outstanding.
@@ -366,29 +407,23 @@
             self.last_answered = None;
             match frame {
                 Frame::PartEnded { part, status, load, value } => {
-                    self.last_answered = Some(part.clone());
                     let outstanding = |tracked: &&TrackedCall| {
                         tracked.call.part == part && tracked.stage.is_fully_written()
                     };
                     let Some(no) = self.calls.values().find(outstanding).map(|tracked| tracked.call.no)
                     else {
-                        // A late answer to a part that was given up, or a second answer, is ignored. If the part was
-                        // never sent here, the run store has mixed up ids, and the answer to some other part will
-                        // never arrive: the connection is closed.
-                        if let Some(past) = self.past_parts.iter_mut().find(|past| past.0 == part) {
-                            past.1 = true;
-                            continue;
-                        }
-                        return Err(format!(
-                            "answer to part {part:?}, which is not outstanding on this connection"
-                        ));
+                        self.note_surplus_answer(&part)?;
+                        continue;
                     };
-                    if let Some(TrackedCall { stage: Stage::Written(at), .. }) = self.calls.remove(&no) {
+                    let Some(tracked) = self.calls.remove(&no) else { continue };
+                    if let Stage::Written(at) = tracked.stage {
                         self.average_response_time = (self.average_response_time
                             * (RESPONSE_TIME_WEIGHT_DIVISOR - 1)
                             + (self.last_input - at))
                             / RESPONSE_TIME_WEIGHT_DIVISOR;
                     }
+                    let part = QueryPart::of(&tracked.call);
+                    self.last_answered = Some(part.clone());
                     self.remember_past(part, true);
                     let (outcome, value) = match status {
                         PartStatus::Served => (Outcome::Completed, Some(value)),
@@ -400,7 +435,7 @@
                 Frame::ProofProbeAnswer => {
                     for no in self.proof_probes.pop_front().map(|(calls, _)| calls).unwrap_or_default() {
                         if let Some(tracked) = self.calls.get(&no) {
-                            let part = tracked.call.part.clone();
+                            let part = QueryPart::of(&tracked.call);
                             self.remember_past(part, false);
                             ended.push(self.end(no, Outcome::Cancelled));
                         }
@@ -416,13 +451,29 @@
         }
         // With nothing outstanding, these bytes belong to no answer, and the next answer would be read as their
         // continuation. However, a late answer to a part that was given up may still arrive, in several pieces.
-        let late_answer_possible = self.past_parts.iter().any(|(_, answered)| !answered);
+        let late_answer_possible = self.past_parts.iter().any(|past| !past.answered);
         if !self.buffer.is_empty() && !late_answer_possible && !self.awaits_answer() {
             return Err("unexpected bytes while no answer is outstanding".into());
         }
         Ok(())
     }
 
+    /// Records an answer to a part that no call waits for: a late answer to a part that was given up, or a second answer.
+    ///
+    /// # Errors
+    /// Returns an error if the part was never sent here. The run store has mixed up ids, and the answer to some other
+    /// part will never arrive, so the connection must be closed.
+    fn note_surplus_answer(&mut self, id: &str) -> Result<(), String> {
+        let mut known = self.past_parts.iter_mut().filter(|past| past.part.id == id);
+        let Some(first) = known.next() else {
+            return Err(format!("answer to part {id:?}, which is not outstanding on this connection"));
+        };
+        let past = if first.answered { known.find(|past| !past.answered).unwrap_or(first) } else { first };
+        past.answered = true;
+        self.last_answered = Some(past.part.clone());
+        Ok(())
+    }
+
     /// Stops waiting for a call. Returns whether it was on this connection.
     pub fn give_up(&mut self, no: CallNo, now: Instant) -> bool {
         let Some(tracked) = self.calls.get_mut(&no) else { return false };
@@ -438,7 +489,7 @@
             }
             // The cancel frame is already queued or written.
             Stage::Cancelling | Stage::ProofRequested => {
-                let part = tracked.call.part.clone();
+                let part = QueryPart::of(&tracked.call);
                 self.calls.remove(&no);
                 self.remember_past(part, false);
             }
@@ -471,9 +522,9 @@
 
     /// Queues the cancel frame of a written call and forgets the call.
     fn cancel_written(&mut self, no: CallNo) {
-        if let Some(TrackedCall { call: Call { part, .. }, .. }) = self.calls.remove(&no) {
-            self.queue.push_back(QueueItem::Cancel(part.clone()));
-            self.remember_past(part, false);
+        if let Some(TrackedCall { call, .. }) = self.calls.remove(&no) {
+            self.remember_past(QueryPart::of(&call), false);
+            self.queue.push_back(QueueItem::Cancel(call.part));
         }
     }
 
--- a/src/transport/frames/mod.rs
+++ b/src/transport/frames/mod.rs
@@ -48,6 +48,8 @@
     LimitReached,
     /// The run store accepts nothing new, or its address is unknown.
     Unavailable,
+    /// On each connection that the run store may have, an answer to an earlier query with the same id may arrive.
+    Confusable,
 }
 
 /// How to queue a call on a connection.
@@ -126,6 +128,15 @@
         }
         let last_active =
             entry.connections.iter().filter(has_capacity).max_by_key(|c| c.state.borrow().last_input());
+        // A client that uses an id again and again must not take the connections that others need.
+        let confuses_queries =
+            |c: &Rc<Connection>| call.is_some_and(|call| c.state.borrow().confuses_queries(call));
+        if last_active.is_none()
+            && entry.connections.len() >= MAX_CONNECTIONS_PER_RUN_STORE
+            && entry.connections.iter().any(confuses_queries)
+        {
+            return Err(NoConnection::Confusable);
+        }
         let at_limit = last_active.is_some() && entry.connections.len() >= MAX_CONNECTIONS_PER_RUN_STORE;
         if at_limit || self.open_connections.get() >= self.limits.get().max_connections {
             return last_active.cloned().ok_or(NoConnection::LimitReached);
@@ -227,6 +238,7 @@
             Err(NoConnection::Unavailable) => {
                 self.driver.call_ended(call.no, CallEnd::bare(Outcome::ConnectFailed))
             }
+            Err(NoConnection::Confusable) => self.driver.call_ended(call.no, CallEnd::bare(Outcome::NotSent)),
             Err(NoConnection::LimitReached) => return Some((call, enqueue)),
         }
         None
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use ironpaddle::api::Outcome;
-use ironpaddle::core::{Call, CallEnd, CallNo};
+use ironpaddle::core::{Call, CallEnd, CallNo, QueryNo};
 use ironpaddle::transport::frames::link::{ConnectionState, EndEvent};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -47,7 +47,7 @@
         part: format!("q{no}.0"),
         query: format!("q{no}"),
         class: "c".into(),
-        query_attempt: (ironpaddle::core::QueryNo(no), 0),
+        query_attempt: (QueryNo(no), 0),
         key: None,
         shard: 0,
         until: 1e9,
@@ -530,7 +530,7 @@
 #[test]
 fn a_connection_that_last_answered_a_part_confuses_its_restricted_repeats() {
     let repeat = |restricted| Call {
-        query_attempt: (ironpaddle::core::QueryNo(1), 1),
+        query_attempt: (QueryNo(1), 1),
         repeats_restricted: restricted,
         no: CallNo(2),
         ..call(1)
@@ -555,3 +555,59 @@
     assert_eq!(ended.len(), 1);
     assert!(!state.confuses(&repeat(true)), "a copy would have come before the answer to another part");
 }
+
+/// Guards against serving a client with another client's data: a query with the id of an earlier one, whose client had
+/// left, got the late answers to that one's parts.
+#[test]
+fn a_connection_on_which_a_late_answer_may_come_confuses_a_later_query_with_the_same_id() {
+    let later_query = Call { no: CallNo(2), query_attempt: (QueryNo(2), 0), ..call(1) };
+    let write_all = |state: &mut ConnectionState| {
+        while state.next_frame(|_| 1).is_some() {
+            state.mark_written(Instant::now());
+        }
+    };
+    let mut state = ConnectionState::new(1, Instant::now(), USUAL);
+    state.push(call(1));
+    assert!(state.confuses(&later_query), "the part is queued");
+    write_all(&mut state);
+    assert!(state.confuses(&later_query), "the part runs");
+    assert!(state.give_up(CallNo(1), Instant::now()));
+    write_all(&mut state);
+    assert!(state.confuses(&later_query), "the part was given up and may be answered late");
+    assert!(!state.confuses(&call(3)), "another id");
+    let same_query = Call { query_attempt: (QueryNo(1), 1), ..call(1) };
+    assert!(!state.confuses(&same_query), "a late answer to its own query is right");
+    let (ended, result) = state.receive(&answer("q1.0", 'S'), Instant::now());
+    assert!(result.is_ok() && ended.is_empty(), "{ended:?}");
+    assert!(state.confuses(&later_query), "a copy of the late answer may follow");
+    state.push(call(3));
+    write_all(&mut state);
+    let (ended, _) = state.receive(&answer("q3.0", 'S'), Instant::now());
+    assert_eq!(ended.len(), 1);
+    assert!(!state.confuses(&later_query), "a copy would have come before the answer to another part");
+}
+
+/// Guards against the same confusion by an attempt whose end is awaited, and by the second of two late answers.
+#[test]
+fn awaited_ends_and_each_late_answer_confuse_a_later_query_with_the_same_id() {
+    let later_query = Call { no: CallNo(9), query_attempt: (QueryNo(9), 0), ..call(1) };
+    let mut state = ConnectionState::new(2, Instant::now(), USUAL);
+    state.push(call(1));
+    state.push(Call { no: CallNo(2), query_attempt: (QueryNo(1), 1), ..call(1) });
+    write_frames(&mut state, Instant::now());
+    assert_eq!(state.give_up_with_proof(CallNo(1), Instant::now()), None);
+    assert!(state.confuses(&later_query));
+    state.give_up(CallNo(1), Instant::now());
+    state.give_up(CallNo(2), Instant::now());
+    write_frames(&mut state, Instant::now());
+    state.push(call(3));
+    write_frames(&mut state, Instant::now());
+    for late_answer in ["the first", "the second"] {
+        assert!(state.confuses(&later_query), "{late_answer} late answer may come");
+        let (ended, result) = state.receive(&answer("q1.0", 'S'), Instant::now());
+        assert!(result.is_ok() && ended.is_empty(), "{ended:?}");
+    }
+    let (ended, _) = state.receive(&answer("q3.0", 'S'), Instant::now());
+    assert_eq!(ended.len(), 1);
+    assert!(!state.confuses(&later_query));
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod narrow;
 mod operator;
+mod reused_ids;
 mod settings;
 mod stand_in;
 mod surplus;
--- /dev/null
+++ b/tests/sockets/reused_ids.rs
@@ -0,0 +1,80 @@
+//! Clients that use the id of another client's request.
+
+use std::io::Write;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::aggregator::{read_answer, Aggregator};
+use crate::stand_in::{Wire, WIRES};
+
+/// How long run stores work on a part, also after its client has left.
+const SERVICE_TIME: Duration = Duration::from_millis(300);
+
+/// Maximum number of connections to one run store with frames.
+const MAX_CONNECTIONS: usize = 4;
+
+/// Returns a request for all shards with an id, whose parts carry `text`.
+fn request(wire: Wire, class: &str, id: &str, text: &str) -> Vec<u8> {
+    let (target, body) = match wire {
+        Wire::Frames => {
+            let slices: Vec<_> = (0..4).map(|shard| json!({"slice": shard, "mass": 0.25})).collect();
+            (format!("/{class}"), json!({"slices": slices, "filter": text}))
+        }
+        Wire::OpenSearch => (format!("/{class}/_search"), json!({"query": {"match": {"run": text}}})),
+    };
+    let body = body.to_string();
+    format!(
+        "POST {target} HTTP/1.1\r\nX-Request-ID: {id}\r\nX-Opaque-Id: {id}\r\nX-Timeout: 8000m\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// Guards against serving a client with another client's data: with the id of a request whose client had left, it got the
+/// late answers to that request's parts.
+#[test]
+fn a_request_with_the_id_of_one_whose_client_left_gets_its_own_values() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.backends.change(|state| {
+            state.return_query_text = true;
+            state.service_time = SERVICE_TIME;
+        });
+        let mut first = aggregator.connect();
+        first.write_all(&request(wire, "run-search", "same", "text-of-the-first")).unwrap();
+        aggregator.backends.wait("its parts", |state| state.parts.len() == 4);
+        drop(first);
+        aggregator.wait_for_log("code=client_gone");
+        let mut second = aggregator.connect();
+        second.write_all(&request(wire, "run-search", "same", "text-of-the-second")).unwrap();
+        let answer = read_answer(&mut second);
+        assert!(answer.is_whole(), "{wire:?}: {answer:?}");
+        assert_eq!(answer.body.matches("text-of-the-second").count(), 4, "{wire:?}: {answer:?}");
+        assert!(!answer.body.contains("text-of-the-first"), "{wire:?}: {answer:?}");
+    }
+}
+
+/// Guards against a client that takes all connections to run stores by using its id again while late answers may come.
+#[test]
+fn an_id_used_again_and_again_takes_few_connections() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        aggregator.backends.change(|state| state.service_time = 5 * SERVICE_TIME);
+        for _ in 0..20 {
+            let mut stream = aggregator.connect();
+            stream.write_all(&request(wire, "run-search", "same", "text")).unwrap();
+            std::thread::sleep(Duration::from_millis(30));
+            drop(stream);
+            aggregator.wait_for_log("code=client_gone");
+        }
+        if wire == Wire::Frames {
+            let connections = aggregator.backends.read(|state| state.connections[&0]);
+            assert!(connections <= MAX_CONNECTIONS, "{connections} connections to a run store");
+        }
+        aggregator.backends.change(|state| state.service_time = Duration::ZERO);
+        let answer = aggregator.ask("run-lookup", &[0], 8000);
+        assert!(answer.is_whole(), "{wire:?}: {answer:?}");
+    }
+}
--- a/tests/sockets/stand_in.rs
+++ b/tests/sockets/stand_in.rs
@@ -111,6 +111,8 @@
     /// Whether run stores repeat their last answer on a connection as soon as another part has arrived there, as if
     /// the copy had been under way since that answer.
     pub repeat_last_answer: bool,
+    /// Whether the value of a part is the text of its query, instead of `v` and its shard.
+    pub return_query_text: bool,
     /// Whether run stores return no `X-Opaque-Id`.
     pub omit_opaque_ids: bool,
     /// The number of connections that each run store has accepted.
@@ -139,6 +141,14 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 impl Backends {
+    /// Returns the value of a part that carries the text `query`.
+    pub fn value(&self, shard: &str, query: &str) -> String {
+        match self.read(|state| state.return_query_text) {
+            true => query.to_string(),
+            false => format!("v{shard}"),
+        }
+    }
+
     /// Changes the state and wakes all waiters.
     pub fn change(&self, change: impl FnOnce(&mut State)) {
         change(&mut self.state.lock().unwrap());
--- a/tests/sockets/stand_in/run_store.rs
+++ b/tests/sockets/stand_in/run_store.rs
@@ -68,7 +68,8 @@
                 }
                 match backends.record_part(store, shard.parse().unwrap(), timeout_ms, key) {
                     Behavior::Serve => {
-                        let answered = format!("{id} S 7 util=0.50,qps=3\nv{shard}");
+                        let value = backends.value(shard, query);
+                        let answered = format!("{id} S 7 util=0.50,qps=3\n{value}");
                         let (service_time, mut delayed) =
                             (backends.read(|state| state.service_time), send.try_clone()?);
                         if service_time.is_zero() {
@@ -146,19 +147,19 @@
     }
 }
 
-/// Returns the body of the answer to a search of one shard.
-fn search_response(shard: u32) -> String {
+/// Returns the body of the answer to a search, with one hit.
+fn search_response(value: &str) -> String {
     let body = json!({"took": 1, "timed_out": false,
         "_shards": {"total": 1, "successful": 1, "skipped": 0, "failed": 0},
         "hits": {"total": {"value": 1, "relation": "eq"}, "max_score": 1.0,
-            "hits": [{"_index": "i", "_id": format!("v{shard}"), "_score": 1.0}]}});
+            "hits": [{"_index": "i", "_id": value, "_score": 1.0}]}});
     body.to_string()
 }
 
 fn serve_searches(backends: &Backends, store: usize, mut stream: TcpStream) -> io::Result<()> {
     let mut answers = SearchAnswers { stream: stream.try_clone()?, id_line: String::new(), last: Vec::new() };
     loop {
-        let (first, head, _) = read_http(&mut stream)?;
+        let (first, head, body) = read_http(&mut stream)?;
         let id = head.lines().find_map(|line| line.strip_prefix("x-opaque-id: "));
         let id = id.filter(|_| !backends.read(|state| state.omit_opaque_ids));
         answers.id_line = id.map(|id| format!("X-Opaque-Id: {id}\r\n")).unwrap_or_default();
@@ -173,13 +174,14 @@
         let shard: u32 = first.split("_shards:").nth(1).unwrap().split('&').next().unwrap().parse().unwrap();
         let key = head.lines().find_map(|line| line.strip_prefix("idempotency-key: "));
         let timeout_ms = first.split("timeout=").nth(1).unwrap().split("ms").next().unwrap().parse().unwrap();
+        let value = backends.value(&shard.to_string(), &String::from_utf8(body).unwrap());
         match backends.record_part(store, shard, timeout_ms, key) {
             Behavior::Serve => {
                 thread::sleep(backends.read(|state| state.service_time));
-                answers.write("200 OK", &search_response(shard))?;
+                answers.write("200 OK", &search_response(&value))?;
             }
             Behavior::ServeByteByByte => {
-                let answer = answers.encode("200 OK", &search_response(shard));
+                let answer = answers.encode("200 OK", &search_response(&value));
                 write_byte_by_byte(&mut stream, &answer)?;
             }
             behavior @ (Behavior::StopReading | Behavior::GarbageThenStopReading) => {
@@ -191,7 +193,7 @@
                     Release::Read => {}
                     Release::Serve => {
                         backends.mark_ended(store);
-                        answers.write("200 OK", &search_response(shard))?;
+                        answers.write("200 OK", &search_response(&value))?;
                     }
                     Release::Close => return Ok(()),
                 }
