Begin no request of a client that has already left

What callers saw (operators of other deployments): a client closed its connection with much still unread, and its requests were sent on afterwards.

Cause: a close stands behind the input before it and is seen only once all of it is read.

Change: before a request begins, poll(2) is asked whether the peer has closed its side (POLLRDHUP, POLLHUP, POLLERR), which does not depend on unread input.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -138,6 +138,10 @@
     /// Returns the response to a request, unless the client leaves first. The handler is notified if a pipelined request
     /// has an earlier deadline, and then answers by that time.
     async fn answer(&mut self, request: ReceivedRequest) -> Result<Response, Interruption> {
+        // The client may have left long ago, and its close stands behind input that is not read yet.
+        if self.input.stream.is_hung_up() {
+            return Err(Interruption::ClientGone);
+        }
         let (deadline_sender, deadline_receiver) = async_channel::unbounded();
         let answer = self.server.handler.handle(request, deadline_receiver);
         let interrupted = self.input.watch_client(deadline_sender);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod aggregator;
 mod calls;
 mod copies;
+mod departed;
 mod endings;
 mod faults;
 mod floods;
