Keep the ids of requests whose parts may have run and must not run twice

What callers saw: an id ran twice when it came again after its client had left.

Cause: src/front/platform.rs kept an id only as long as its request was open, but run stores go on with what runs. Ruled out: repeats by the core (one attempt for each part).

Ids of other classes are free again at once, as a_request_id_in_flight_is_not_accepted_twice asks.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -3,6 +3,7 @@
 use super::ledger::{Ledger, Part, Query};
 use super::{Command, Core, FinalAnswer, QueryNo, QueryRequest};
 use crate::api::{Cause, ClassIndex, Event, Millis, NewPart, NewQuery, PartId, Shard, TenantIndex};
+use crate::query_ids::IdHash;
 
 impl Core {
     /// Records a query and passes it to the router, or refuses it at the limit or after its deadline.
@@ -70,9 +71,23 @@
             parts.push(part_id);
         }
         self.ledger.query_numbers.insert(id, no);
-        let QueryRequest { id: client_id, accepts_partial, key, payload, .. } = request;
-        let query =
-            Query { client_id, class, group, accepted: now, deadline, accepts_partial, key, payload, parts };
+        let QueryRequest { id: client_id, unique_id, accepts_partial, key, payload, .. } = request;
+        let unique_id = unique_id.then(|| IdHash::of(&client_id));
+        if let Some(id) = unique_id {
+            self.query_ids.open(id);
+        }
+        let query = Query {
+            client_id,
+            unique_id,
+            class,
+            group,
+            accepted: now,
+            deadline,
+            accepts_partial,
+            key,
+            payload,
+            parts,
+        };
         self.ledger.queries.insert(no, query);
         self.ledger.deadlines.insert(no, deadline);
     }
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -104,6 +104,11 @@
         let query = self.ledger.queries.remove(&no)?;
         self.ledger.deadlines.remove(no, query.deadline);
         self.ledger.query_numbers.remove(&Ledger::query_id(no));
+        if let Some(id) = query.unique_id {
+            let is_safe = self.classes.get(query.class).class.repeat == RepeatPolicy::Safe;
+            let remember = !is_safe && self.ledger.may_have_run(&query);
+            self.query_ids.close(now, id, remember);
+        }
         for id in &query.parts {
             let Some(part) = self.ledger.parts.remove(id) else { continue };
             self.ledger.open_parts -= usize::from(part.value.is_none());
--- a/src/core/classes/tests.rs
+++ b/src/core/classes/tests.rs
@@ -43,6 +43,7 @@
 fn query(class: &str) -> QueryRequest {
     QueryRequest {
         id: "r1".into(),
+        unique_id: false,
         class: class.into(),
         tenant: None,
         timeout: None,
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -8,12 +8,15 @@
 use super::{CallNo, PartAnswer, QueryNo};
 use crate::api::{Attempt, Millis, Outcome, PartId, QueryId, Replica, ReplicaId};
 use crate::exact::OrderedTime;
+use crate::query_ids::IdHash;
 
 /// A query that has not had its final answer.
 #[derive(Debug)]
 pub struct Query {
     /// The client's id.
     pub client_id: String,
+    /// The hash of that id, if no other query may have it.
+    pub unique_id: Option<IdHash>,
     /// The index of its class.
     pub class: usize,
     /// The name of its tenant group, if the settings contain it.
--- a/src/core/ledger/tests.rs
+++ b/src/core/ledger/tests.rs
@@ -66,6 +66,7 @@
     let part = |shard| PartRequest { shard, weight: 1.0 / f64::from(parts), work_hint: None, key: None };
     QueryRequest {
         id: "r".into(),
+        unique_id: false,
         class: "search".into(),
         tenant: None,
         timeout: Some(timeout),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,6 +29,7 @@
 use crate::asking::WatchSchedule;
 use crate::counters::{Counters, Gauges};
 use crate::hash::mix;
+use crate::query_ids::QueryIds;
 use crate::settings::SiteSettings;
 use crate::starts::StartTimes;
 use crate::trace::writer::{ActiveSettings, TraceWriter};
@@ -42,6 +43,8 @@
 pub struct QueryRequest {
     /// The client's id of the query. The ids of the parts on the wire are derived from it.
     pub id: String,
+    /// Whether run stores know the parts by that id, so that no other query may have it.
+    pub unique_id: bool,
     /// The name of the query's class.
     pub class: String,
     /// The name of the query's tenant, if it has one.
@@ -80,6 +83,8 @@
 pub enum InvalidQuery {
     /// The class is not in the settings.
     UnknownClass,
+    /// Another query has the id, or had it, and a part could run twice.
+    IdInUse,
     /// The request is inconsistent; the text says how.
     Malformed(String),
 }
@@ -291,6 +296,7 @@
     exit_time: Millis,
     probe_timeout: Millis,
     ledger: Ledger,
+    query_ids: QueryIds,
     manual_drains: ManualDrains,
     /// The start times of run stores, and the present time of the clock that they are expressed in, once it
     /// is known.
@@ -335,6 +341,7 @@
             exit_time: Millis::INFINITY,
             probe_timeout: 0.0,
             ledger: Ledger::default(),
+            query_ids: QueryIds::default(),
             manual_drains: ManualDrains::default(),
             start_times: StartTimes::default(),
             clock: None,
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -2,6 +2,7 @@
 
 use super::{Core, InvalidQuery, QueryNo, QueryRequest};
 use crate::api::Millis;
+use crate::query_ids::IdHash;
 
 /// Maximum number of parts of a query.
 const MAX_PARTS: usize = 1000;
@@ -26,6 +27,9 @@
         {
             return Err(InvalidQuery::Malformed(format!("there is no shard {}", part.shard)));
         }
+        if request.unique_id && !self.query_ids.may_open(now, IdHash::of(&request.id)) {
+            return Err(InvalidQuery::IdInUse);
+        }
         let class_deadline = self.classes.get(class).deadline;
         // The client's timeout is capped by the deadline of the class, as a longer one would only hold
         // memory. It counts from the last byte of the request, so time spent queued in the front is deducted.
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -79,6 +79,8 @@
                 .headers
                 .get("x-opaque-id")
                 .map_or_else(|| format!("s{}", self.last_query_no.get()), str::to_string),
+            // Run stores match answers to searches by their connections.
+            unique_id: false,
             class: search.index.clone(),
             tenant: tenant.map(str::to_string),
             timeout: search.timeout,
@@ -126,6 +128,10 @@
                         let reason = format!("no such index [{}]", search.index);
                         self.reject(index, RequestError(404, "index_not_found_exception", reason))
                     }
+                    Ok((_, Err(InvalidQuery::IdInUse))) => {
+                        let reason = "another search has or had this id".to_string();
+                        self.reject(index, RequestError(409, "version_conflict_engine_exception", reason))
+                    }
                     Ok((_, Err(InvalidQuery::Malformed(reason)))) => {
                         self.reject(index, RequestError(400, "illegal_argument_exception", reason))
                     }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -1,7 +1,5 @@
 //! The front for the platform's own protocol, which translates between HTTP and the core's types.
 
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -59,43 +57,25 @@
 pub struct Platform {
     driver: Rc<Driver>,
     client_gate: Rc<ClientGate>,
-    /// The ids of open queries. Part ids on the wire are derived from them, so two open queries must not share one.
-    open_ids: Rc<RefCell<HashSet<String>>>,
-}
-
-/// Reserves a query id until it is dropped.
-struct ReservedId {
-    id: String,
-    open_ids: Rc<RefCell<HashSet<String>>>,
-}
-
-impl Drop for ReservedId {
-    fn drop(&mut self) {
-        self.open_ids.borrow_mut().remove(&self.id);
-    }
 }
 
 impl Platform {
     /// Creates a front that passes queries to `driver` and reports the state of `client_gate` in its health check.
     pub fn new(driver: Rc<Driver>, client_gate: Rc<ClientGate>) -> Self {
-        Platform { driver, client_gate, open_ids: Rc::default() }
+        Platform { driver, client_gate }
     }
 
-    /// Reads a query, reserves its id and passes it to the core.
-    fn start_query(
-        &self,
-        request: &ReceivedRequest,
-        path: &str,
-    ) -> Result<(ReservedId, PendingQuery), Response> {
+    /// Reads a query and passes it to the core. Returns its id with it.
+    fn start_query(&self, request: &ReceivedRequest, path: &str) -> Result<(String, PendingQuery), Response> {
         let class = class_of(path);
         let query = read_query(request, class, self.driver.is_keyed(class))
             .map_err(|why| self.reject(class, 400, &why))?;
-        if !self.open_ids.borrow_mut().insert(query.id.clone()) {
-            return Err(self.reject(class, 409, "a query with this X-Request-ID is already in progress"));
-        }
-        let reserved = ReservedId { id: query.id.clone(), open_ids: self.open_ids.clone() };
+        let id = query.id.clone();
         match self.driver.submit(query) {
-            Ok(pending) => Ok((reserved, pending)),
+            Ok(pending) => Ok((id, pending)),
+            Err(InvalidQuery::IdInUse) => {
+                Err(self.reject(class, 409, "another query has or had this X-Request-ID"))
+            }
             Err(InvalidQuery::UnknownClass) => Err(self.reject(class, 404, "unknown class")),
             Err(InvalidQuery::Malformed(why)) => Err(self.reject(class, 400, &why)),
         }
@@ -120,13 +100,11 @@
             ("GET", "/healthz") => super::health(&self.client_gate, &self.driver),
             ("GET", "/counters") => Response::text(200, &self.driver.counters().to_string()),
             ("POST", _) => match self.start_query(&request, path) {
-                Ok((reserved, pending)) => {
+                Ok((id, pending)) => {
                     return Box::pin(async move {
                         let final_answer = pending.answer_before(earlier_deadline).await;
-                        log::query_ended(&reserved.id, &final_answer);
-                        let response = to_response(&final_answer);
-                        drop(reserved);
-                        response
+                        log::query_ended(&id, &final_answer);
+                        to_response(&final_answer)
                     })
                 }
                 Err(response) => response,
@@ -194,6 +172,7 @@
     };
     Ok(QueryRequest {
         id: id.to_string(),
+        unique_id: true,
         class: class.to_string(),
         tenant: tenant.map(str::to_string),
         timeout,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod net;
 pub mod operator;
 pub mod pace;
+pub mod query_ids;
 pub mod query_index;
 pub mod quota;
 pub mod repeats;
--- a/tests/common/core.rs
+++ b/tests/common/core.rs
@@ -9,6 +9,7 @@
     let part = |shard| PartRequest { shard, weight: 1.0 / f64::from(parts), work_hint: None, key: None };
     QueryRequest {
         id: id.into(),
+        unique_id: false,
         class: class.into(),
         tenant: None,
         timeout: Some(timeout),
--- a/tests/sockets/reused_ids.rs
+++ b/tests/sockets/reused_ids.rs
@@ -1,12 +1,13 @@
 //! Clients that use the id of another client's request.
 
 use std::io::Write;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use serde_json::json;
 
 use crate::aggregator::{read_answer, Aggregator};
-use crate::stand_in::{Wire, WIRES};
+use crate::stand_in::{Behavior, Wire, WIRES};
 
 /// How long run stores work on a part, also after its client has left.
 const SERVICE_TIME: Duration = Duration::from_millis(300);
@@ -78,3 +79,48 @@
         assert!(answer.is_whole(), "{wire:?}: {answer:?}");
     }
 }
+
+/// Asserts that a request of the class that may not run twice is rejected because of its id.
+fn assert_id_is_rejected(aggregator: &Aggregator, mut stream: TcpStream, id: &str) {
+    stream.write_all(&request(aggregator.wire, "shift-entry", id, "text")).unwrap();
+    let answer = read_answer(&mut stream);
+    assert_eq!(answer.status, 409, "{id}: {answer:?}");
+}
+
+/// Guards against a part that runs twice: the id of a request whose client had left, or that was answered, was taken again.
+#[test]
+fn an_id_whose_parts_may_have_run_is_not_taken_again_where_they_must_not_repeat() {
+    let aggregator = Aggregator::start(Wire::Frames, 1);
+    aggregator.backends.change(|state| state.service_time = SERVICE_TIME);
+    let mut first = aggregator.connect();
+    first.write_all(&request(Wire::Frames, "shift-entry", "left", "text")).unwrap();
+    aggregator.backends.wait("its parts", |state| state.parts.len() == 4);
+    drop(first);
+    aggregator.wait_for_log("code=client_gone");
+    assert_id_is_rejected(&aggregator, aggregator.connect(), "left");
+    let mut second = aggregator.connect();
+    second.write_all(&request(Wire::Frames, "shift-entry", "answered", "text")).unwrap();
+    assert!(read_answer(&mut second).is_whole());
+    assert_id_is_rejected(&aggregator, second, "answered");
+    assert_eq!(aggregator.backends.read(|state| state.parts.len()), 8, "each part is sent once");
+}
+
+/// A request that was refused before any of its parts was sent may come again with its id.
+#[test]
+fn an_id_of_which_nothing_was_sent_may_be_used_again() {
+    let aggregator = Aggregator::start_with_max_open(Wire::Frames, 1, 5);
+    aggregator.backends.set_behavior(0, Behavior::NeverAnswer);
+    let mut open = aggregator.connect();
+    open.write_all(&request(Wire::Frames, "shift-entry", "open", "text")).unwrap();
+    aggregator.backends.wait("its parts", |state| state.parts.len() == 4);
+    let mut other = aggregator.connect();
+    let bytes = request(Wire::Frames, "shift-entry", "refused", "text");
+    other.write_all(&bytes).unwrap();
+    assert!(read_answer(&mut other).is_refused());
+    aggregator.backends.set_behavior(0, Behavior::Serve);
+    drop(open);
+    aggregator.wait_for_log("code=client_gone");
+    other.write_all(&bytes).unwrap();
+    let answer = read_answer(&mut other);
+    assert!(answer.is_whole(), "{answer:?}");
+}
