Tell the other process of an upgrade which query ids are in use

What callers saw: an id ran twice when it came again at the other process of an upgrade.

Cause: each process kept ids by itself, and neither the state that is handed over nor the messages after it named any.

Change: ids in use are part of the handed-over state, and each process tells the other of every id that it takes, before parts are sent (Message::QueryId). It is sent only to a process that says it takes it, as one of the version before would end the handover and serve again. The task that follows the old process begins before clients are accepted.

--- a/src/core/drive.rs
+++ b/src/core/drive.rs
@@ -19,6 +19,7 @@
 };
 use crate::api::{Cause, LoadReport, Millis, ReplicaId};
 use crate::counters::{Counters, Gauges};
+use crate::query_ids::IdHash;
 use crate::settings::SiteSettings;
 use crate::trace::control::Control;
 
@@ -236,6 +237,11 @@
         self.core.borrow().takeover_state()
     }
 
+    /// Remembers the ids of queries that another process of this aggregator has accepted.
+    pub fn remember_query_ids(&self, ids: &[IdHash]) {
+        self.core.borrow_mut().remember_query_ids(self.now(), ids);
+    }
+
     /// Returns the number of open queries plus their parts without an answer.
     pub fn open_work(&self) -> usize {
         self.core.borrow().open_work()
--- a/src/core/takeover.rs
+++ b/src/core/takeover.rs
@@ -5,6 +5,8 @@
 
 use super::manual_drain::ManualDrains;
 use super::Core;
+use crate::api::Millis;
+use crate::query_ids::IdHash;
 use crate::settings::SiteSettings;
 use crate::starts::StartTimes;
 
@@ -18,6 +20,9 @@
     /// send it.
     #[serde(default)]
     starts: StartTimes,
+    /// The ids that no new query may have. `None` from an older version, which must not be told of ids either.
+    #[serde(default)]
+    pub query_ids: Option<Vec<IdHash>>,
     /// The state that the router has learned, which refers to classes by index.
     learned: String,
     /// The names of the classes by index.
@@ -30,6 +35,7 @@
         TakeoverState {
             manual_drains: self.manual_drains.clone(),
             starts: self.start_times.clone(),
+            query_ids: Some(self.query_ids.in_use()),
             learned: self.router.export_learned(),
             classes: self.classes.names_by_index(),
         }
@@ -52,6 +58,11 @@
         Ok(self.router.import_learned(&state.learned))
     }
 
+    /// Remembers the ids of queries that another process of this aggregator has accepted.
+    pub fn remember_query_ids(&mut self, now: Millis, ids: &[IdHash]) {
+        ids.iter().for_each(|id| self.query_ids.remember(now, *id));
+    }
+
     /// Returns the number of open queries plus their parts without an answer.
     pub fn open_work(&self) -> usize {
         self.ledger.open_work()
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -8,12 +8,14 @@
 
 use crate::core::drive::{millis, Driver, PendingQuery};
 use crate::core::{FinalAnswer, InvalidQuery, PartRequest, QueryRequest};
+use crate::handover::PeerSender;
 use crate::http::client_gate::ClientGate;
 use crate::http::inbox::ReceivedRequest;
 use crate::http::parse::{Message, MessageError};
 use crate::http::server::{Handler, LocalBoxFuture, RefusalReason};
 use crate::http::write::Response;
 use crate::log;
+use crate::query_ids::IdHash;
 
 /// The longest accepted id, tenant or term, in bytes.
 const MAX_NAME_BYTES: usize = 128;
@@ -57,12 +59,14 @@
 pub struct Platform {
     driver: Rc<Driver>,
     client_gate: Rc<ClientGate>,
+    peer: Rc<PeerSender>,
 }
 
 impl Platform {
-    /// Creates a front that passes queries to `driver` and reports the state of `client_gate` in its health check.
-    pub fn new(driver: Rc<Driver>, client_gate: Rc<ClientGate>) -> Self {
-        Platform { driver, client_gate }
+    /// Creates a front that passes queries to `driver`, reports the state of `client_gate` in its health check, and tells
+    /// the other process of an upgrade of the ids of queries.
+    pub fn new(driver: Rc<Driver>, client_gate: Rc<ClientGate>, peer: Rc<PeerSender>) -> Self {
+        Platform { driver, client_gate, peer }
     }
 
     /// Reads a query and passes it to the core. Returns its id with it.
@@ -72,7 +76,10 @@
             .map_err(|why| self.reject(class, 400, &why))?;
         let id = query.id.clone();
         match self.driver.submit(query) {
-            Ok(pending) => Ok((id, pending)),
+            Ok(pending) => {
+                self.peer.send_query_id(IdHash::of(&id));
+                Ok((id, pending))
+            }
             Err(InvalidQuery::IdInUse) => {
                 Err(self.reject(class, 409, "another query has or had this X-Request-ID"))
             }
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -10,7 +10,7 @@
 pub mod new;
 pub mod old;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -25,6 +25,7 @@
 use crate::core::takeover::TakeoverState;
 use crate::directory::list::List;
 use crate::http::client::within;
+use crate::query_ids::IdHash;
 use crate::store::Entry;
 use link::{LineReader, Link};
 
@@ -79,6 +80,9 @@
         version: u32,
         /// The aggregator's name.
         name: String,
+        /// Whether the new process can be sent [`Message::QueryId`].
+        #[serde(default)]
+        accepts_query_ids: bool,
     },
     /// The old process is shutting down and no longer accepts connections, so there is nothing to hand over.
     #[serde(rename = "ending")]
@@ -90,6 +94,9 @@
     State(Box<HandoverState>),
     /// The new process serves clients.
     Serving,
+    /// The sending process has accepted a query with this id. Not sent to processes of older versions, which would end
+    /// the handover.
+    QueryId(IdHash),
     /// The old process uses these resources.
     #[serde(rename = "held")]
     Resources(HeldResources),
@@ -117,6 +124,8 @@
     fn resume_accepting(&self);
     /// Applies a manual drain (`out`), or its end, that an operator requested from the other process at the time `at`.
     fn apply_manual_drain(&self, at: Millis, id: &ReplicaId, out: bool);
+    /// Remembers the id of a query that the other process has accepted.
+    fn remember_query_id(&self, id: IdHash);
     /// Leaves room, under the shared limits, for the resources of the other process; `None` once that has ended.
     fn reserve_for_peer(&self, held: Option<HeldResources>);
 }
@@ -131,19 +140,31 @@
 
 /// Sends messages to the other process of a handover, while there is one.
 #[derive(Default)]
-pub struct PeerSender(RefCell<Option<Sender<Message>>>);
+pub struct PeerSender {
+    messages: RefCell<Option<Sender<Message>>>,
+    accepts_query_ids: Cell<bool>,
+}
 
 impl PeerSender {
-    /// Connects the sender to a new channel and returns its receiver.
-    fn open(&self) -> Receiver<Message> {
+    /// Connects the sender to a new channel and returns its receiver. `accepts_query_ids` states whether the other process
+    /// can be sent [`Message::QueryId`].
+    fn open(&self, accepts_query_ids: bool) -> Receiver<Message> {
         let (sender, receiver) = async_channel::unbounded();
-        *self.0.borrow_mut() = Some(sender);
+        *self.messages.borrow_mut() = Some(sender);
+        self.accepts_query_ids.set(accepts_query_ids);
         receiver
     }
 
+    /// Queues the id of a query that this process has accepted, if there is another process that can be told.
+    pub fn send_query_id(&self, id: IdHash) {
+        if self.accepts_query_ids.get() {
+            self.send(Message::QueryId(id));
+        }
+    }
+
     /// Queues a message for the other process, if there is one.
     pub fn send(&self, message: Message) {
-        if let Some(sender) = &*self.0.borrow() {
+        if let Some(sender) = &*self.messages.borrow() {
             // A failure means that the other process has ended.
             let _ = sender.try_send(message);
         }
@@ -176,6 +197,7 @@
         match message {
             Message::DrainRunStore(id) => process.apply_manual_drain(0.0, &id, true),
             Message::UndrainRunStore(id, at) => process.apply_manual_drain(at, &id, false),
+            Message::QueryId(id) => process.remember_query_id(id),
             Message::Resources(held) => process.reserve_for_peer(Some(held)),
             Message::Serving => serving(),
             Message::Hello { .. } | Message::ShuttingDown | Message::Refused(_) | Message::State(_) => {
--- a/src/handover/new.rs
+++ b/src/handover/new.rs
@@ -23,8 +23,15 @@
     pub state: HandoverState,
     /// Its listening sockets.
     pub sockets: Vec<OwnedFd>,
+    /// The connection to it.
+    pub old_process: OldProcess,
+}
+
+/// The connection to the process that has handed over.
+pub struct OldProcess {
     link: Link,
     lines: LineReader,
+    accepts_query_ids: bool,
 }
 
 /// Asks the running process of an aggregator to hand over; `None` if its socket shows that none runs.
@@ -46,13 +53,19 @@
     };
     let link = Link::new(stream).map_err(failed)?;
     let handover = async {
-        link.send(&Message::Hello { version: PROTOCOL_VERSION, name: name.to_string() }).await?;
+        let hello =
+            Message::Hello { version: PROTOCOL_VERSION, name: name.to_string(), accepts_query_ids: true };
+        link.send(&hello).await?;
         let sockets = link.receive_sockets().await?;
         let mut lines = LineReader::default();
         Ok((sockets, lines.next_message(&link).await?, lines))
     };
     match within(HANDOVER_TIMEOUT, handover).await.map_err(failed)? {
-        (sockets, Message::State(state), lines) => Ok(Some(Takeover { state: *state, sockets, link, lines })),
+        (sockets, Message::State(state), lines) => {
+            let accepts_query_ids = state.takeover_state.query_ids.is_some();
+            let old_process = OldProcess { link, lines, accepts_query_ids };
+            Ok(Some(Takeover { state: *state, sockets, old_process }))
+        }
         (_, Message::ShuttingDown, _) => Ok(None),
         (_, Message::Refused(why), _) => Err(format!("the running process does not hand over: {why}")),
         _ => Err("the running process does not hand over: unexpected message".into()),
@@ -60,9 +73,9 @@
 }
 
 /// Reports that this process serves, and exchanges messages with the old process until that has ended.
-pub async fn follow(connection: (Link, LineReader), process: &dyn Process, peer: &PeerSender) {
-    let (link, mut lines) = connection;
-    let messages = peer.open();
+pub async fn follow(old_process: OldProcess, process: &dyn Process, peer: &PeerSender) {
+    let OldProcess { link, mut lines, accepts_query_ids } = old_process;
+    let messages = peer.open(accepts_query_ids);
     peer.send(Message::Serving);
     let why =
         future::or(receive_messages(&link, &mut lines, process, || {}), send_messages(&link, &messages))
@@ -71,10 +84,3 @@
     process.reserve_for_peer(None);
     log::line("handover: the old process is gone");
 }
-
-impl Takeover {
-    /// Splits it into the state, the sockets and the connection to the old process.
-    pub fn into_parts(self) -> (HandoverState, Vec<OwnedFd>, (Link, LineReader)) {
-        (self.state, self.sockets, (self.link, self.lines))
-    }
-}
--- a/src/handover/old.rs
+++ b/src/handover/old.rs
@@ -84,7 +84,8 @@
     let mut lines = LineReader::default();
     let hello = within(MESSAGE_TIMEOUT, lines.next_message(link)).await?;
     let is_compatible =
-        matches!(&hello, Message::Hello { version: PROTOCOL_VERSION, name } if *name == process.name());
+        matches!(&hello, Message::Hello { version: PROTOCOL_VERSION, name, .. } if *name == process.name());
+    let accepts_query_ids = matches!(hello, Message::Hello { accepts_query_ids: true, .. });
     let mismatch = "the other process has another aggregator name or protocol version";
     let sockets = match process.sockets() {
         Some(sockets) if is_compatible => sockets,
@@ -99,7 +100,7 @@
         }
     };
     // The channel is opened before the state is captured, so that operators' calls made afterwards are sent behind it.
-    let messages = peer.open();
+    let messages = peer.open(accepts_query_ids);
     let state = Message::State(Box::new(process.state()));
     within(MESSAGE_TIMEOUT, link.send_sockets(&sockets)).await?;
     within(MESSAGE_TIMEOUT, link.send(&state)).await?;
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -48,13 +48,15 @@
     let name = config.name.clone();
     let operator_listener = program::listen_for_operators(&config).await?;
     let handover_socket = handover::socket_path(&name);
-    let taken = new::take_over(&handover_socket, &name).await?.map(new::Takeover::into_parts);
-    let (inherited, link) = taken.map(|(state, sockets, link)| ((state, sockets), link)).unzip();
-    let program = Program::new(path, config, executor.clone(), inherited).await?;
-    program.accept();
+    let takeover = new::take_over(&handover_socket, &name).await?;
+    let (inherited, old_process) =
+        takeover.map(|takeover| ((takeover.state, takeover.sockets), takeover.old_process)).unzip();
     let peer_sender = Rc::new(PeerSender::default());
-    let handover_task = run_handover(handover_socket, link, program.clone(), peer_sender.clone());
+    let program = Program::new(path, config, executor.clone(), inherited, peer_sender.clone()).await?;
+    // Before the first query is accepted, so that the other process is told of it, and the other way round.
+    let handover_task = run_handover(handover_socket, old_process, program.clone(), peer_sender.clone());
     executor.spawn(handover_task).detach();
+    program.accept();
     if let Some(listener) = operator_listener {
         if let Ok(at) = listener.local_addr() {
             log::line(&format!("operators call {at}"));
@@ -110,12 +112,12 @@
 /// Follows the process that this one takes over from, and then waits for one that takes over from it.
 async fn run_handover(
     handover_socket: std::path::PathBuf,
-    link: Option<(handover::link::Link, handover::link::LineReader)>,
+    old_process: Option<new::OldProcess>,
     program: Rc<Program>,
     peer_sender: Rc<PeerSender>,
 ) {
-    if let Some(link) = link {
-        new::follow(link, &*program, &peer_sender).await;
+    if let Some(old_process) = old_process {
+        new::follow(old_process, &*program, &peer_sender).await;
     }
     old::serve_handovers(&handover_socket, program, &peer_sender).await;
 }
--- a/src/service/program.rs
+++ b/src/service/program.rs
@@ -24,11 +24,12 @@
 use crate::directory::Reload;
 use crate::front::opensearch::OpenSearch;
 use crate::front::platform::Platform;
-use crate::handover::{HandoverState, HeldResources, Process};
+use crate::handover::{HandoverState, HeldResources, PeerSender, Process};
 use crate::http::client_gate::ClientGate;
 use crate::http::server::{Handler, Limits, Server};
 use crate::log;
 use crate::memory::RequestMemory;
+use crate::query_ids::IdHash;
 use crate::settings::SiteSettings;
 use crate::store::peers::Replication;
 use crate::store::{self, Store};
@@ -75,6 +76,7 @@
         config: Config,
         executor: Rc<LocalExecutor<'static>>,
         inherited: Option<Inherited>,
+        peer: Rc<PeerSender>,
     ) -> Result<Rc<Self>, String> {
         let (state, sockets) = inherited.unzip();
         let mut sockets = sockets.unwrap_or_default().into_iter();
@@ -96,6 +98,9 @@
             Some(now) => Driver::with_clock_at(core, executor.clone(), now),
             None => Driver::new(core, executor.clone()),
         };
+        if let Some(ids) = state.as_ref().and_then(|state| state.takeover_state.query_ids.as_ref()) {
+            driver.remember_query_ids(ids);
+        }
         if let Some(trace) = &config.trace {
             driver.set_trace_control(Control::new(trace.keep(), source(&config, driver.now())));
             // As in the process that hands over, since operators may have switched recording there.
@@ -120,7 +125,7 @@
         let client_gate = Rc::new(ClientGate::default());
         client_gate.set_closed_by_operator(state.as_ref().is_some_and(|state| state.shut_by_operator));
         let front: Box<dyn Handler> = match config.api {
-            Api::Platform => Box::new(Platform::new(driver.clone(), client_gate.clone())),
+            Api::Platform => Box::new(Platform::new(driver.clone(), client_gate.clone(), peer)),
             Api::Opensearch => Box::new(OpenSearch::new(driver.clone(), client_gate.clone())),
         };
         let limits = Limits::for_connections(config.client_connections(0));
@@ -243,6 +248,10 @@
         self.driver.apply_manual_drain(at, id, out);
     }
 
+    fn remember_query_id(&self, id: IdHash) {
+        self.driver.remember_query_ids(&[id]);
+    }
+
     fn reserve_for_peer(&self, held: Option<HeldResources>) {
         let HeldResources { open, descriptors } = held.unwrap_or_default();
         self.server.set_max_connections(self.config.client_connections(descriptors));
--- a/tests/sockets/reused_ids.rs
+++ b/tests/sockets/reused_ids.rs
@@ -124,3 +124,35 @@
     let answer = read_answer(&mut other);
     assert!(answer.is_whole(), "{answer:?}");
 }
+/// Guards against a part that runs twice because the two processes of an upgrade each take its id.
+#[test]
+fn an_id_is_taken_by_one_process_of_an_upgrade_alone() {
+    let old = Aggregator::start(Wire::Frames, 1);
+    old.backends.change(|state| state.service_time = SERVICE_TIME);
+    let mut kept: Vec<_> = (0..3).map(|_| old.connect()).collect();
+    for stream in &mut kept {
+        stream.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+        assert_eq!(read_answer(stream).status, 200);
+    }
+    let mut left = old.connect();
+    left.write_all(&request(Wire::Frames, "shift-entry", "before", "text")).unwrap();
+    old.backends.wait("its parts", |state| state.parts.len() == 4);
+    let new = old.start_successor();
+    old.wait_for_log("handover: the new process serves");
+    assert_id_is_rejected(&new, new.connect(), "before");
+    drop(left);
+    old.wait_for_log("code=client_gone");
+    assert_id_is_rejected(&new, new.connect(), "before");
+    // A request on a connection that the old process has kept.
+    let mut at_old = kept.pop().unwrap();
+    at_old.write_all(&request(Wire::Frames, "shift-entry", "at-old", "text")).unwrap();
+    old.backends.wait("its parts", |state| state.parts.len() == 8);
+    assert_id_is_rejected(&new, new.connect(), "at-old");
+    // A request at the new process.
+    let mut at_new = new.connect();
+    at_new.write_all(&request(Wire::Frames, "shift-entry", "at-new", "text")).unwrap();
+    old.backends.wait("its parts", |state| state.parts.len() == 12);
+    assert_id_is_rejected(&old, kept.pop().unwrap(), "at-new");
+    assert!(read_answer(&mut at_new).is_whole());
+    assert_eq!(old.backends.read(|state| state.parts.len()), 12, "each part is sent once");
+}
