Refuse queries at once while the list of run stores is known to be empty

What callers saw: once the list had become empty, a query was refused only at its deadline, 8.0 s after it came with a client that waits 8 s, on both wires and with both kinds of discovery.

Cause: the router refuses at once what no run store can take, but not while no replica is listed (leave_out_backlogged in src/decide.rs), as before the first list nothing is known. It cannot tell that from an empty list; the core can (list_received) and did not.

Change: Core::admit refuses (no_list, with advice) once a list has come and names no run store. What is at a run store is waited for. The module of decisions is unchanged, and a start without any list too.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -1,4 +1,5 @@
-//! Stage 2, admit: passes a query on to the router, unless the limit on open queries and parts is reached.
+//! Stage 2, admit: passes a query on to the router, unless the limit on open queries and parts is reached or no run
+//! store is listed.
 
 use super::ledger::{Ledger, Part, Query};
 use super::{Command, Core, FinalAnswer, QueryNo, QueryRequest};
@@ -6,7 +7,8 @@
 use crate::query_ids::IdHash;
 
 impl Core {
-    /// Records a query and passes it to the router, or refuses it at the limit or after its deadline.
+    /// Records a query and passes it to the router, or refuses it: at the limit, after its deadline, or while the list
+    /// is empty.
     pub(super) fn admit(
         &mut self,
         now: Millis,
@@ -15,12 +17,8 @@
         deadline: Millis,
         request: QueryRequest,
     ) {
-        // At the limit a query is refused before the router sees it, so that the memory held stays bounded
-        // under any load. None of its parts has run, so a refusal is safe.
-        let is_overdue = deadline <= now;
-        if self.ledger.open_work() + self.held_elsewhere >= self.max_open || is_overdue {
+        if let Some(cause) = self.refusal_cause(now, deadline) {
             self.counters.turned_away += 1;
-            let cause = if is_overdue { Cause::Overdue } else { Cause::MaxOpen };
             let final_answer = FinalAnswer::Refused { retry_after: self.retry_advice(now, class), cause };
             self.counters.count_answer(&self.classes.get(class).name, &final_answer);
             self.trace_refused(now, no, class, &request, (deadline, cause));
@@ -91,4 +89,18 @@
         self.ledger.queries.insert(no, query);
         self.ledger.deadlines.insert(no, deadline);
     }
+    /// Returns why a query with this deadline is refused before the router sees it, which is safe as none of its parts
+    /// has run; `None` if it is not.
+    fn refusal_cause(&self, now: Millis, deadline: Millis) -> Option<Cause> {
+        if deadline <= now {
+            return Some(Cause::Overdue);
+        }
+        // The router would hold the query until its deadline.
+        if self.is_list_empty() {
+            return Some(Cause::NoList);
+        }
+        // The memory held stays bounded under any load.
+        let held = self.ledger.open_work() + self.held_elsewhere;
+        (held >= self.max_open).then_some(Cause::MaxOpen)
+    }
 }
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -137,21 +137,43 @@
         // The router itself is late and cannot give a cause any more.
         let cause = if self.ledger.run_stores.is_empty() { Cause::NoList } else { Cause::Overdue };
         for no in overdue {
-            let query = &self.ledger.queries[&no];
-            let class = query.class;
-            let class_settings = &self.classes.get(class).class;
-            let (answers, share) = self.ledger.answers(query);
-            let enough = !answers.is_empty() && share + SHARE_TOLERANCE >= class_settings.least_share;
-            let is_safe = class_settings.repeat == RepeatPolicy::Safe || !self.ledger.may_have_run(query);
-            let final_answer = if enough && query.accepts_partial {
-                FinalAnswer::Served { whole: false, answers, parts: query.parts.len() }
-            } else if now >= self.exit_time && is_safe {
-                FinalAnswer::Refused { retry_after: self.retry_advice(now, class), cause }
-            } else {
-                FinalAnswer::Failed { retry_after: 0.0, cause }
-            };
-            self.close_query(now, no, final_answer);
-            self.pending_events.push(Event::ClientGone(Ledger::query_id(no)));
+            let may_refuse = now >= self.exit_time;
+            self.end_unfinished_query(now, no, cause, may_refuse);
+        }
+    }
+
+    /// Ends the queries that wait although no run store is listed and none of their attempts is outstanding: no more
+    /// parts can be answered, and their clients can retry elsewhere in time.
+    pub(super) fn end_queries_without_run_stores(&mut self, now: Millis) {
+        if !self.is_list_empty() {
+            return;
+        }
+        let is_outstanding = |id| self.ledger.parts.get(id).is_some_and(|part| part.outstanding > 0);
+        let queries = self.ledger.queries.iter();
+        let waiting = queries.filter(|(_, query)| !query.parts.iter().any(is_outstanding));
+        let waiting: Vec<QueryNo> = waiting.map(|(no, _)| *no).collect();
+        for no in waiting {
+            self.end_unfinished_query(now, no, Cause::NoList, true);
         }
     }
+
+    /// Ends a query with a partial answer from the received parts if that is allowed. Otherwise refuses it if that is
+    /// wanted (`may_refuse`) and a retry is safe, or else fails it.
+    fn end_unfinished_query(&mut self, now: Millis, no: QueryNo, cause: Cause, may_refuse: bool) {
+        let Some(query) = self.ledger.queries.get(&no) else { return };
+        let class = query.class;
+        let class_settings = &self.classes.get(class).class;
+        let (answers, share) = self.ledger.answers(query);
+        let enough = !answers.is_empty() && share + SHARE_TOLERANCE >= class_settings.least_share;
+        let is_safe = class_settings.repeat == RepeatPolicy::Safe || !self.ledger.may_have_run(query);
+        let final_answer = if enough && query.accepts_partial {
+            FinalAnswer::Served { whole: false, answers, parts: query.parts.len() }
+        } else if may_refuse && is_safe {
+            FinalAnswer::Refused { retry_after: self.retry_advice(now, class), cause }
+        } else {
+            FinalAnswer::Failed { retry_after: 0.0, cause }
+        };
+        self.close_query(now, no, final_answer);
+        self.pending_events.push(Event::ClientGone(Ledger::query_id(no)));
+    }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -476,6 +476,12 @@
         self.settings.discovery == Discovery::Pushed
     }
 
+    /// Returns whether the directory has sent a list and it names no run store. Before the first list, queries wait for
+    /// it.
+    fn is_list_empty(&self) -> bool {
+        self.list_received && self.ledger.run_stores.is_empty()
+    }
+
     /// Returns the number of run stores that the core keeps an entry for.
     pub fn run_stores(&self) -> usize {
         self.ledger.run_stores.len()
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -31,6 +31,8 @@
         for action in actions {
             self.run_action(now, action);
         }
+        // The router has seen the last ends of attempts by now.
+        self.end_queries_without_run_stores(now);
         let watch = if self.lists_are_pushed() { &mut self.agent_watch } else { &mut self.service_watch };
         if watch.open_if_due(now) {
             self.commands.push_back(Command::Watch);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -39,6 +39,13 @@
     fixture::ask("r1", class, parts, 2000.0)
 }
 
+fn answer(command: Command) -> Option<FinalAnswer> {
+    match command {
+        Command::Answer { answer, .. } => Some(answer),
+        _ => None,
+    }
+}
+
 fn final_answers(commands: &[Command]) -> Vec<(QueryNo, FinalAnswer)> {
     let last = |command: &Command| match command {
         Command::Answer { query, answer } => Some((*query, answer.clone())),
@@ -191,6 +198,79 @@
     }
 }
 
+/// Guards against queries that wait until their deadlines although the list is known to be empty.
+#[test]
+fn queries_are_refused_at_once_while_the_list_is_empty_and_wait_while_none_has_arrived() {
+    let final_answers = |core: &mut Core, id: &str| {
+        core.take_in(10.0, QueryRequest { id: id.into(), ..ask("search", 1) }).unwrap();
+        commands(core).into_iter().filter_map(answer).collect::<Vec<_>>()
+    };
+    let mut core = core(100);
+    core.apply_directory_update(DirectoryUpdate::Cached(Vec::new()));
+    assert_eq!(final_answers(&mut core, "r1"), [], "a list may still arrive");
+    core.apply_directory_update(DirectoryUpdate::Full(Vec::new()));
+    let [FinalAnswer::Refused { cause, .. }] = final_answers(&mut core, "r2")[..] else {
+        panic!("not refused")
+    };
+    assert_eq!(cause, Cause::NoList);
+    core.apply_directory_update(DirectoryUpdate::Failed);
+    assert_eq!(final_answers(&mut core, "r3").len(), 1, "the empty list stays in force");
+    core.apply_directory_update(DirectoryUpdate::Changes(vec![listed("a", ReplicaState::Active)]));
+    assert_eq!(final_answers(&mut core, "r4"), [], "the query is passed to the router");
+}
+
+/// Guards against queries that were waiting when the list became empty and are held until their deadlines.
+#[test]
+fn queries_with_nothing_at_a_run_store_end_when_the_list_becomes_empty() {
+    let mut core = core(100);
+    for (class, id) in [("search", "waits"), ("search", "sent"), ("entry", "ran")] {
+        core.take_in(10.0, QueryRequest { id: id.into(), ..ask(class, 1) }).unwrap();
+        if id != "waits" {
+            continue;
+        }
+        // It arrives in the same step as the empty list.
+        core.apply_directory_update(DirectoryUpdate::Full(Vec::new()));
+        core.step(15.0);
+        let answers: Vec<_> = commands(&mut core).into_iter().filter_map(answer).collect();
+        let [FinalAnswer::Refused { cause: Cause::NoList, .. }] = answers[..] else { panic!("{answers:?}") };
+        core.apply_directory_update(DirectoryUpdate::Full(vec![listed("a", ReplicaState::Active)]));
+        core.step(20.0);
+    }
+    core.step(25.0);
+    let sent = calls(&commands(&mut core));
+    assert_eq!(sent.len(), 2);
+    core.apply_directory_update(DirectoryUpdate::Full(Vec::new()));
+    core.step(30.0);
+    assert_eq!(commands(&mut core).into_iter().filter_map(answer).count(), 0, "attempts may be answered");
+    for call in &sent {
+        core.call_ended(40.0, call.no, CallEnd::bare(Outcome::Reset));
+    }
+    core.step(45.0);
+    core.step(50.0);
+    let mut answers: Vec<_> = commands(&mut core).into_iter().filter_map(answer).collect();
+    answers.sort_by_key(|answer| matches!(answer, FinalAnswer::Failed { .. }));
+    // A retry of the entry would not be safe, as it may have run.
+    assert!(matches!(answers[..], [FinalAnswer::Refused { .. }, FinalAnswer::Failed { .. }]), "{answers:?}");
+}
+
+/// Guards against an answer in the same step as the end of the last attempt that calls the query incomplete.
+#[test]
+fn parts_that_are_answered_after_the_list_became_empty_count() {
+    let mut core = core(100);
+    core.take_in(10.0, ask("search", 2)).unwrap();
+    core.step(15.0);
+    let sent = calls(&commands(&mut core));
+    core.apply_directory_update(DirectoryUpdate::Full(Vec::new()));
+    core.step(20.0);
+    for call in &sent {
+        let end = CallEnd { value: Some(b"v"[..].into()), ..CallEnd::bare(Outcome::Completed) };
+        core.call_ended(30.0, call.no, end);
+    }
+    core.step(35.0);
+    let answers: Vec<_> = commands(&mut core).into_iter().filter_map(answer).collect();
+    assert!(matches!(answers[..], [FinalAnswer::Served { whole: true, .. }]), "{answers:?}");
+}
+
 /// A failed watch suggests an overloaded service and waits for the router's backoff; a silent watch hides changes and
 /// is reopened soon.
 #[test]
--- a/tests/sockets/narrow.rs
+++ b/tests/sockets/narrow.rs
@@ -149,6 +149,24 @@
     on_both_wires(starts);
 }
 
+/// Guards against queries that are held until their deadlines once discovery has listed the last run store as gone.
+#[test]
+fn queries_are_refused_at_once_after_the_last_run_store_has_gone() {
+    for wire in WIRES {
+        let aggregator = Aggregator::start(wire, 1);
+        let at = aggregator.stores[0];
+        assert!(aggregator.ask("run-lookup", &[0], 8000).is_whole(), "{wire:?}");
+        aggregator.backends.publish_and_wait(json!([endpoint(0, at, "gone", 0)]));
+        let asked_at = Instant::now();
+        let refused = aggregator.ask("run-lookup", &[0], 8000);
+        assert!(refused.is_refused() && refused.head.contains("retry-after"), "{wire:?}: {refused:?}");
+        // The aim of the class, far below the 8 s of the client.
+        assert!(asked_at.elapsed() < Duration::from_millis(2000), "{wire:?}: {:?}", asked_at.elapsed());
+        aggregator.backends.publish_and_wait(json!([endpoint(0, at, "ready", 0)]));
+        assert!(aggregator.ask("run-lookup", &[0], 8000).is_whole(), "{wire:?}");
+    }
+}
+
 #[test]
 fn idle_clients_on_every_connection_block_neither_discovery_nor_other_clients() {
     for wire in WIRES {
