Keep an empty list in the replicated store, and save no old list as new

What callers saw: a peer that started without a list took run stores that were gone from the store, and sent them searches until its own discovery answered.

Cause: save_directory (src/service/program.rs) skipped lists without run stores, so the list before stayed; and a process that started with the saved list saved it again under its own, later time, which replaced what a peer had saved since. Ruled out: the merge of entries.

Change: the list is compared with the one in the store. Who starts with that one saves nothing; an empty one is saved as any other, but nothing before a first list.

Measured: on the sources before, a_peer_starts_with_the_empty_list_of_the_store fails on both wires (the old list is still there after 10 s); it passes now.

--- a/src/service/program.rs
+++ b/src/service/program.rs
@@ -308,9 +308,7 @@
         return (known.clone(), Some(known.index));
     }
     // No list is known here, so start with the last one that a peer knew.
-    let saved_by_peers =
-        store.and_then(|store| serde_json::from_str(&store.get(store::DIRECTORY)?.value).ok());
-    (saved_by_peers.unwrap_or_default(), None)
+    (store.and_then(saved_list).unwrap_or_default(), None)
 }
 
 /// A directory for the core, and the interface that reloads it.
@@ -381,12 +379,19 @@
     config.parse_settings(own.ok_or("key settings: is missing, and no peer holds any")?)
 }
 
+/// Returns the list that this process or a peer saved in the store.
+fn saved_list(store: &Store) -> Option<List> {
+    serde_json::from_str(&store.get(store::DIRECTORY)?.value).ok()
+}
+
 /// Writes the directory's list to the store whenever it changes.
 async fn save_directory(store: Rc<Store>, driver: Rc<Driver>) {
-    let mut saved = List::default();
+    // The list that this process started with is not news: saved anew, it would replace a newer one of a peer. Without
+    // any, nothing is saved before the first list.
+    let mut saved = saved_list(&store).unwrap_or_else(|| List::of(Vec::new()));
     loop {
         let list = List::of(driver.directory());
-        if list != saved && !list.endpoints.is_empty() {
+        if list != saved {
             if let Ok(text) = serde_json::to_string(&list) {
                 store.put(store::DIRECTORY, driver.now() as u64, text);
             }
--- a/tests/sockets/operator.rs
+++ b/tests/sockets/operator.rs
@@ -1,9 +1,11 @@
 //! The replicated store of settings and of the last directory.
 
+use std::time::{Duration, Instant};
+
 use serde_json::{json, Value};
 
-use crate::aggregator::Aggregator;
-use crate::stand_in::Wire;
+use crate::aggregator::{endpoint, Aggregator};
+use crate::stand_in::{on_both_wires, Wire};
 
 /// Starts an aggregator with a replicated store, and returns it with the address of the store.
 fn start_peer(
@@ -48,3 +50,42 @@
     let (back, _) = start_peer("old", &[new_store], 1, |_| {});
     assert!(back.logged_at_start("settings of version 2 from new"));
 }
+
+/// Guards against an old list in the store that outlives the empty one: because that one is not saved, or because a
+/// peer that starts with the old one saves it anew.
+#[test]
+fn a_peer_starts_with_the_empty_list_of_the_store() {
+    on_both_wires(|wire| {
+        let start = |name: &str, peers: Vec<String>, is_first: bool| {
+            Aggregator::start_with_config(wire, 1, |config, _| {
+                config["name"] = json!(name);
+                config["store"] = json!({"listen": "127.0.0.1:0", "peers": peers, "settings_version": 1});
+                if !is_first {
+                    config["known"] = json!({});
+                    // No discovery answers on this port, so the list can come only from the peer.
+                    config["discovery"] = json!("127.0.0.1:9");
+                }
+            })
+        };
+        let first = start("first", Vec::new(), true);
+        let peer = |name: &str| start(name, first.store_address.iter().cloned().collect(), false);
+        // This one keeps the old list, as it cannot ask for another.
+        let second = peer("second");
+        assert!(second.ask("run-lookup", &[0], 8000).is_whole(), "{wire:?}");
+        let gone = endpoint(0, first.stores[0], "gone", 0);
+        first.backends.publish_and_wait(json!([gone]));
+        let emptied_at = Instant::now();
+        loop {
+            let third = peer("third");
+            // Without a list it is not ready, and refuses at the deadline.
+            let refused = third.ask("run-lookup", &[0], 300).is_refused();
+            if refused {
+                break;
+            }
+            assert!(emptied_at.elapsed() < Duration::from_secs(10), "{wire:?}: the old list is still there");
+        }
+        // It stays empty after the peers that hold the old list have had time to save it.
+        std::thread::sleep(Duration::from_millis(1500));
+        assert!(peer("fourth").ask("run-lookup", &[0], 300).is_refused(), "{wire:?}");
+    });
+}
