Let names that a DNS server never answers delay no drain of others

Cause: eight lookups at most were in progress, overdue ones among them (LookupTasks::start), each for 3 s, and those that would time out again stood before others in the queue of drains.

Change: overdue lookups do not count; with more than four of them the oldest is given up, so that at most eight are in progress. What timed out is queued with the records that show moves until it is answered again.

--- a/src/directory/dns_sd.rs
+++ b/src/directory/dns_sd.rs
@@ -8,7 +8,7 @@
 //! several at a time if the server is quick.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,8 +32,8 @@
 use crate::record_order::{Lookup, RecordKind};
 use crate::transport::duration_from_millis;
 
-/// Maximum number of lookups in progress, with those that are overdue.
-const MAX_LOOKUPS: usize = 8;
+/// Maximum number of overdue lookups in progress, which bounds the descriptors used. The oldest is given up for another.
+const MAX_OVERDUE_LOOKUPS: usize = 4;
 /// How long the first run stores that are found after a start wait for others, so that they are listed together.
 const COLLECT_TIME: Duration = Duration::from_millis(100);
 
@@ -58,7 +58,7 @@
     /// A lookup has ended.
     Ended(StartedLookup, io::Result<Vec<Record>>),
     /// A lookup has not been answered in the usual time.
-    Overdue(Lookup),
+    Overdue(StartedLookup),
     /// Run stores found after the start have waited for others long enough.
     Collected,
     /// Lookups that failed are due again.
@@ -71,7 +71,8 @@
     events: Sender<Event>,
     /// The task of each lookup, which is cancelled when it is dropped.
     tasks: BTreeMap<Lookup, Task<()>>,
-    overdue: BTreeSet<Lookup>,
+    /// The lookups among them that are overdue, the oldest first.
+    overdue: VecDeque<StartedLookup>,
 }
 
 impl DnsSd {
@@ -200,7 +201,13 @@
         while let Ok(event) = received.recv().await {
             match event {
                 Event::Round => {}
-                Event::Overdue(lookup) => lookups.mark_overdue(lookup),
+                Event::Overdue(started) => {
+                    if let Some(oldest) = lookups.mark_overdue(started) {
+                        let given_up = Err(io::ErrorKind::TimedOut.into());
+                        // The receiver is this task.
+                        let _ = events.try_send(Event::Ended(oldest, given_up));
+                    }
+                }
                 Event::Ended(started, answer) => {
                     lookups.remove(&started.lookup);
                     if answer.is_err() && retrying.is_none() {
@@ -247,7 +254,8 @@
         let changed = match answer {
             Ok(records) => self.instances.borrow_mut().apply_answer(started, &records),
             Err(why) => {
-                let first = self.instances.borrow_mut().record_failure(&started.lookup);
+                let timed_out = why.kind() == io::ErrorKind::TimedOut;
+                let first = self.instances.borrow_mut().record_failure(&started.lookup, timed_out);
                 if first {
                     let what = format!("{:?} of {}: {why}", started.lookup.kind, started.name.join("."));
                     log::ended("dns", Some(server), why.kind().into(), what);
@@ -267,18 +275,17 @@
 
 impl LookupTasks {
     fn new(resolver: Rc<Resolver>, events: Sender<Event>) -> Self {
-        LookupTasks { resolver, events, tasks: BTreeMap::new(), overdue: BTreeSet::new() }
+        LookupTasks { resolver, events, tasks: BTreeMap::new(), overdue: VecDeque::new() }
     }
 
-    /// Starts lookups while more may be in progress. An overdue one holds up no other.
+    /// Starts lookups while more may be in progress. Overdue ones hold up no other.
     fn start(&mut self, driver: &Driver, instances: &RefCell<Instances>) {
-        let may_start = |lookups: &Self| {
-            lookups.tasks.len() < MAX_LOOKUPS
-                && lookups.tasks.len() - lookups.overdue.len()
-                    < lookups.resolver.round_trip_time().concurrency()
-        };
-        while may_start(self) {
+        loop {
             let round_trip_time = self.resolver.round_trip_time();
+            let prompt = self.tasks.len() - self.overdue.len();
+            if prompt >= round_trip_time.concurrency() {
+                return;
+            }
             let Some(started) = instances.borrow_mut().start_lookup(&round_trip_time) else { return };
             let lookup = started.lookup.clone();
             let task = look_up(self.resolver.clone(), started, self.events.clone());
@@ -288,13 +295,21 @@
 
     fn remove(&mut self, lookup: &Lookup) {
         self.tasks.remove(lookup);
-        self.overdue.remove(lookup);
+        self.overdue.retain(|started| started.lookup != *lookup);
     }
 
-    fn mark_overdue(&mut self, lookup: Lookup) {
-        if self.tasks.contains_key(&lookup) {
-            self.overdue.insert(lookup);
+    /// Marks a lookup as overdue. Returns the oldest overdue one if it is to be given up.
+    fn mark_overdue(&mut self, started: StartedLookup) -> Option<StartedLookup> {
+        if !self.tasks.contains_key(&started.lookup) {
+            return None;
+        }
+        self.overdue.push_back(started);
+        if self.overdue.len() <= MAX_OVERDUE_LOOKUPS {
+            return None;
         }
+        let oldest = self.overdue.pop_front()?;
+        self.tasks.remove(&oldest.lookup);
+        Some(oldest)
     }
 }
 
@@ -303,7 +318,7 @@
     let overdue = async {
         Timer::after(resolver.retry_timeout()).await;
         // The receiver may be gone after a reload.
-        let _ = events.try_send(Event::Overdue(started.lookup.clone()));
+        let _ = events.try_send(Event::Overdue(started.clone()));
         future::pending().await
     };
     let answer = future::or(query_records(&resolver, &started), overdue).await;
--- a/src/directory/instances.rs
+++ b/src/directory/instances.rs
@@ -55,6 +55,8 @@
     tried: BTreeSet<RecordKind>,
     /// The records whose last lookup failed.
     failing: BTreeSet<RecordKind>,
+    /// Those of them for which the server did not respond, so that another lookup takes long.
+    unanswered: BTreeSet<RecordKind>,
 }
 
 /// A lookup that has been started, and the name to query.
@@ -142,7 +144,7 @@
             // The name changed meanwhile, so the answer is about another one.
             return false;
         }
-        instance.record_end(lookup.kind, false);
+        instance.record_answer(lookup.kind);
         instance.learn(lookup.kind, records);
         if lookup.kind == RecordKind::Service {
             self.follow_service(&lookup.instance, records);
@@ -150,11 +152,12 @@
         self.by_id.get_mut(&lookup.instance).is_some_and(Instance::update_run_store)
     }
 
-    /// Records that a lookup failed. Returns whether the lookup before it did not.
-    pub fn record_failure(&mut self, lookup: &Lookup) -> bool {
+    /// Records that a lookup failed, as the server did not respond (`timed_out`) or its response was no answer.
+    /// Returns whether the lookup before it did not fail.
+    pub fn record_failure(&mut self, lookup: &Lookup, timed_out: bool) -> bool {
         self.order.end(lookup);
         let instance = self.by_id.get_mut(&lookup.instance);
-        instance.is_some_and(|instance| instance.record_end(lookup.kind, true))
+        instance.is_some_and(|instance| instance.record_failure(lookup.kind, timed_out))
     }
 
     /// Applies the records that came along with the PTR records, and returns the lookups that they answer.
@@ -163,7 +166,7 @@
         for (id, instance) in &mut self.by_id {
             for kind in [RecordKind::Service, RecordKind::Address, RecordKind::Texts] {
                 if instance.has_record(kind, records) {
-                    instance.record_end(kind, false);
+                    instance.record_answer(kind);
                     instance.learn(kind, records);
                     known.insert(Lookup { instance: id.clone(), kind });
                 }
@@ -193,7 +196,7 @@
     fn follow_service(&mut self, id: &ReplicaId, records: &[Record]) {
         let Some(instance) = self.by_id.get_mut(id) else { return };
         if instance.has_record(RecordKind::Address, records) {
-            instance.record_end(RecordKind::Address, false);
+            instance.record_answer(RecordKind::Address);
             instance.learn(RecordKind::Address, records);
         } else if instance.address == Known::Unknown && instance.queried_name(RecordKind::Address).is_some() {
             let lookup = Lookup { instance: id.clone(), kind: RecordKind::Address };
@@ -214,6 +217,8 @@
 
     fn purpose(&self, kind: RecordKind) -> Purpose {
         match (kind, self.run_store.is_some()) {
+            // Lookups that take long must not delay those that show the drains of others.
+            _ if self.unanswered.contains(&kind) => Purpose::CheckLocation,
             (RecordKind::Texts, true) => Purpose::CheckState,
             (_, false) if !self.tried.contains(&kind) => Purpose::Discover,
             _ => Purpose::CheckLocation,
@@ -226,14 +231,22 @@
         kinds.iter().all(|kind| self.tried.contains(kind) || self.queried_name(*kind).is_none())
     }
 
-    /// Records how a lookup ended. Returns whether it failed and the one before it did not.
-    fn record_end(&mut self, kind: RecordKind, failed: bool) -> bool {
+    /// Records that a lookup was answered.
+    fn record_answer(&mut self, kind: RecordKind) {
         self.tried.insert(kind);
-        if failed {
-            return self.failing.insert(kind);
-        }
         self.failing.remove(&kind);
-        false
+        self.unanswered.remove(&kind);
+    }
+
+    /// Records that a lookup failed. Returns whether the one before it did not.
+    fn record_failure(&mut self, kind: RecordKind, timed_out: bool) -> bool {
+        self.tried.insert(kind);
+        if timed_out {
+            self.unanswered.insert(kind);
+        } else {
+            self.unanswered.remove(&kind);
+        }
+        self.failing.insert(kind)
     }
 
     fn has_record(&self, kind: RecordKind, records: &[Record]) -> bool {
--- a/src/directory/instances/tests.rs
+++ b/src/directory/instances/tests.rs
@@ -36,7 +36,7 @@
                 instances.apply_answer(&started, &own);
             }
             None => {
-                instances.record_failure(&started.lookup);
+                instances.record_failure(&started.lookup, true);
             }
         }
     }
--- a/tests/sockets/dns_sd.rs
+++ b/tests/sockets/dns_sd.rs
@@ -268,6 +268,32 @@
     });
 }
 
+/// Guards against lookups that wait for time-outs delaying the drain of a run store that is answered for.
+#[test]
+fn names_that_are_never_answered_delay_no_drain_of_others() {
+    on_both_wires(|wire| {
+        let (aggregator, server) = start(wire, 12, REFRESH_MS);
+        wait_until_used(&aggregator, 0);
+        server.change(|zone| {
+            for store in 3..12 {
+                for label in [format!("s-{store}"), format!("host-s-{store}")] {
+                    let questions =
+                        [A, SRV, TXT].map(|record_type| ((label.clone(), record_type), DnsFault::Silence));
+                    zone.faults.extend(questions);
+                }
+            }
+        });
+        server.wait_for_questions(PTR, 2);
+        let changed_at = Instant::now();
+        server.change(|zone| zone.instances[0].texts[1] = "status=draining".into());
+        send_queries_for(&aggregator, NOTHING_NEW_AFTER + WATCH_LONGER);
+        if let Some(last) = last_part_after(&aggregator, 0, changed_at) {
+            assert!(last <= NOTHING_NEW_AFTER, "{wire:?}: a part came {last:?} after the drain");
+        }
+        assert!(used_run_stores(&aggregator).len() == 4, "{wire:?}: the others stay in use");
+    });
+}
+
 /// Guards against a server that needs longer than one try of a query, so that each answer is to an earlier try.
 #[test]
 fn answers_to_earlier_tries_of_a_query_count() {
