Part the DNS-SD directory and its tests into files of one job

Change: the tasks are in src/directory/lookup_tasks.rs and report by a function in place of the directory's own channel; the tests of answers without records are in tests/sockets/dns_sd_empty.rs. No behaviour and no assertion changes.

--- a/src/directory/dns_sd.rs
+++ b/src/directory/dns_sd.rs
@@ -8,7 +8,7 @@
 //! several at a time if the server is quick.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +21,7 @@
 
 use super::dns::{self, Name, Record, RecordData, RecordType};
 use super::instances::{Instances, StartedLookup};
+use super::lookup_tasks::{LookupEvent, LookupTasks, Report};
 use super::resolver::Resolver;
 use super::{Reload, ReloadTarget};
 use crate::api::ReplicaId;
@@ -29,11 +30,8 @@
 use crate::core::drive::{Directory, Driver};
 use crate::core::{DirectoryUpdate, ListedRunStore};
 use crate::log::{self, Reason};
-use crate::record_order::{Lookup, RecordKind};
 use crate::transport::duration_from_millis;
 
-/// Maximum number of overdue lookups in progress, which bounds the descriptors used. The oldest is given up for another.
-const MAX_OVERDUE_LOOKUPS: usize = 4;
 /// How long the first run stores that are found after a start wait for others, so that they are listed together.
 const COLLECT_TIME: Duration = Duration::from_millis(100);
 
@@ -55,26 +53,14 @@
 enum Event {
     /// The names have been queried again, so that all records are due.
     Round,
-    /// A lookup has ended.
-    Ended(StartedLookup, io::Result<Vec<Record>>),
-    /// A lookup has not been answered in the usual time.
-    Overdue(StartedLookup),
+    /// A lookup is overdue or has ended.
+    Lookup(LookupEvent),
     /// Run stores found after the start have waited for others long enough.
     Collected,
     /// Lookups that failed are due again.
     Retry,
 }
 
-/// The lookups in progress.
-struct LookupTasks {
-    resolver: Rc<Resolver>,
-    events: Sender<Event>,
-    /// The task of each lookup, which is cancelled when it is dropped.
-    tasks: BTreeMap<Lookup, Task<()>>,
-    /// The lookups among them that are overdue, the oldest first.
-    overdue: VecDeque<StartedLookup>,
-}
-
 impl DnsSd {
     /// Creates a directory of the instances of a service. It does not poll yet.
     pub fn new(driver: Rc<Driver>, config: DnsSdConfig) -> Rc<Self> {
@@ -196,19 +182,18 @@
         events: &Sender<Event>,
         received: &Receiver<Event>,
     ) {
-        let mut lookups = LookupTasks::new(resolver.clone(), events.clone());
+        let report: Report = {
+            let events = events.clone();
+            // The receiver may be gone after a reload.
+            Rc::new(move |event| drop(events.try_send(Event::Lookup(event))))
+        };
+        let mut lookups = LookupTasks::new(resolver.clone(), self.driver.executor().clone(), report);
         let (mut collecting, mut retrying) = (None, None);
         while let Ok(event) = received.recv().await {
             match event {
                 Event::Round => {}
-                Event::Overdue(started) => {
-                    if let Some(oldest) = lookups.mark_overdue(started) {
-                        let given_up = Err(io::ErrorKind::TimedOut.into());
-                        // The receiver is this task.
-                        let _ = events.try_send(Event::Ended(oldest, given_up));
-                    }
-                }
-                Event::Ended(started, answer) => {
+                Event::Lookup(LookupEvent::Overdue(started)) => lookups.mark_overdue(started),
+                Event::Lookup(LookupEvent::Ended(started, answer)) => {
                     lookups.remove(&started.lookup);
                     if answer.is_err() && retrying.is_none() {
                         let backoff = duration_from_millis(MAX_BACKOFF);
@@ -230,7 +215,7 @@
                     self.instances.borrow_mut().request_failed_lookups();
                 }
             }
-            lookups.start(&self.driver, &self.instances);
+            lookups.start(&mut self.instances.borrow_mut());
         }
     }
 
@@ -273,73 +258,6 @@
     }
 }
 
-impl LookupTasks {
-    fn new(resolver: Rc<Resolver>, events: Sender<Event>) -> Self {
-        LookupTasks { resolver, events, tasks: BTreeMap::new(), overdue: VecDeque::new() }
-    }
-
-    /// Starts lookups while more may be in progress. Overdue ones hold up no other.
-    fn start(&mut self, driver: &Driver, instances: &RefCell<Instances>) {
-        loop {
-            let round_trip_time = self.resolver.round_trip_time();
-            let prompt = self.tasks.len() - self.overdue.len();
-            if prompt >= round_trip_time.concurrency() {
-                return;
-            }
-            let Some(started) = instances.borrow_mut().start_lookup(&round_trip_time) else { return };
-            let lookup = started.lookup.clone();
-            let task = look_up(self.resolver.clone(), started, self.events.clone());
-            self.tasks.insert(lookup, driver.executor().spawn(task));
-        }
-    }
-
-    fn remove(&mut self, lookup: &Lookup) {
-        self.tasks.remove(lookup);
-        self.overdue.retain(|started| started.lookup != *lookup);
-    }
-
-    /// Marks a lookup as overdue. Returns the oldest overdue one if it is to be given up.
-    fn mark_overdue(&mut self, started: StartedLookup) -> Option<StartedLookup> {
-        if !self.tasks.contains_key(&started.lookup) {
-            return None;
-        }
-        self.overdue.push_back(started);
-        if self.overdue.len() <= MAX_OVERDUE_LOOKUPS {
-            return None;
-        }
-        let oldest = self.overdue.pop_front()?;
-        self.tasks.remove(&oldest.lookup);
-        Some(oldest)
-    }
-}
-
-/// Looks up a record, and reports when the answer is overdue and how the lookup ends.
-async fn look_up(resolver: Rc<Resolver>, started: StartedLookup, events: Sender<Event>) {
-    let overdue = async {
-        Timer::after(resolver.retry_timeout()).await;
-        // The receiver may be gone after a reload.
-        let _ = events.try_send(Event::Overdue(started.clone()));
-        future::pending().await
-    };
-    let answer = future::or(query_records(&resolver, &started), overdue).await;
-    let _ = events.try_send(Event::Ended(started, answer));
-}
-
-/// Queries the records of a lookup. An IPv6 address is queried for a host that has no IPv4 address.
-async fn query_records(resolver: &Resolver, started: &StartedLookup) -> io::Result<Vec<Record>> {
-    match started.lookup.kind {
-        RecordKind::Service => resolver.query(&started.name, RecordType::Srv).await,
-        RecordKind::Texts => resolver.query(&started.name, RecordType::Txt).await,
-        RecordKind::Address => {
-            let records = resolver.query(&started.name, RecordType::A).await?;
-            if records.is_empty() {
-                return resolver.query(&started.name, RecordType::Aaaa).await;
-            }
-            Ok(records)
-        }
-    }
-}
-
 /// Returns the names of the instances that the PTR records of a service list.
 fn instance_names(service: &Name, records: &[Record]) -> Vec<Name> {
     let own = records.iter().filter(|record| dns::names_equal(&record.name, service));
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -4,6 +4,7 @@
 pub mod dns_sd;
 pub mod instances;
 pub mod list;
+pub mod lookup_tasks;
 pub mod resolver;
 pub mod watch;
 
--- a/tests/sockets/dns_sd.rs
+++ b/tests/sockets/dns_sd.rs
@@ -1,4 +1,4 @@
-//! DNS-SD records as the source of the directory.
+//! DNS-SD records as the source of the directory, with a server that is slow or fails.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,20 +7,18 @@
 
 use serde_json::{json, Value};
 
-use crate::aggregator::{read_answer, Aggregator};
+use crate::aggregator::Aggregator;
 use crate::stand_in::{on_both_wires, DnsFault, DnsServer, Instance, Wire, A, PTR, SERVICE, SRV, TXT};
 
 /// The time within which a change of the records is told (`docs/terms-audit.md`), after which a run store that is
 /// removed or drains may get new parts for another 2 s, with the 50 ms by which limits on sockets are longer.
 const NOTHING_NEW_AFTER: Duration = Duration::from_millis(6000 + 2000 + 50);
 /// How much longer a run store is watched for new parts.
-const WATCH_LONGER: Duration = Duration::from_millis(3000);
+pub const WATCH_LONGER: Duration = Duration::from_millis(3000);
 /// The delay of each answer of a slow server: half of the shortest time-out of a try.
-const SLOW: Duration = Duration::from_millis(250);
-/// The time within which a change of the records takes effect.
-const TOLD_WITHIN: Duration = Duration::from_millis(6000);
+pub const SLOW: Duration = Duration::from_millis(250);
 /// What is not an answer about the records of a name.
-const FAILURES: [DnsFault; 6] = [
+pub const FAILURES: [DnsFault; 6] = [
     DnsFault::SERVFAIL,
     DnsFault::REFUSED,
     DnsFault::Silence,
@@ -29,9 +27,9 @@
     DnsFault::CutOverTcp,
 ];
 /// The text of the log line on a list without run stores, which no cause of a refusal has.
-const EMPTY_LIST_LOG: &str = "the list of run stores is empty";
+pub const EMPTY_LIST_LOG: &str = "the list of run stores is empty";
 /// The refresh time of `deploy/operator.json`.
-const REFRESH_MS: u64 = 2000;
+pub const REFRESH_MS: u64 = 2000;
 
 fn instance(store: usize, at: SocketAddr, status: &str) -> Instance {
     let texts = vec![format!("group={store}"), format!("status={status}")];
@@ -39,7 +37,7 @@
 }
 
 /// Starts a DNS server and an aggregator that uses it, with some listed run stores.
-fn start(wire: Wire, stores: usize, refresh_ms: u64) -> (Aggregator, Arc<DnsServer>) {
+pub fn start(wire: Wire, stores: usize, refresh_ms: u64) -> (Aggregator, Arc<DnsServer>) {
     let server = DnsServer::start();
     let aggregator = Aggregator::start_with_config(wire, stores, |config, at| {
         server.change(|zone| zone.instances = ready(at));
@@ -48,12 +46,12 @@
     (aggregator, server)
 }
 
-fn ready(stores: &[SocketAddr]) -> Vec<Instance> {
+pub fn ready(stores: &[SocketAddr]) -> Vec<Instance> {
     stores.iter().enumerate().map(|(store, at)| instance(store, *at, "ready")).collect()
 }
 
 /// Makes the server the only source of the directory.
-fn use_dns(config: &mut Value, server: &DnsServer, refresh_ms: u64) {
+pub fn use_dns(config: &mut Value, server: &DnsServer, refresh_ms: u64) {
     config["discovery"] = Value::Null;
     config["known"] = json!({});
     config["dns_sd"] =
@@ -61,13 +59,13 @@
 }
 
 /// Waits until the present records are in effect, with a server that answers at once.
-fn wait_for_refresh(server: &DnsServer) {
+pub fn wait_for_refresh(server: &DnsServer) {
     // One round may be in progress, and the third begins after the answers of the second have been applied.
     server.wait_for_questions(PTR, 3);
 }
 
 /// Waits until queries of all shards are served.
-fn wait_until_served(aggregator: &Aggregator) {
+pub fn wait_until_served(aggregator: &Aggregator) {
     let started = Instant::now();
     while aggregator.ask("run-lookup", &[0, 1, 2, 3], 8000).status != 200 {
         assert!(started.elapsed() < Duration::from_secs(30), "never served");
@@ -76,7 +74,7 @@
 }
 
 /// Returns the run stores that got the parts of a query of all shards, which has to be served.
-fn used_run_stores(aggregator: &Aggregator) -> Vec<usize> {
+pub fn used_run_stores(aggregator: &Aggregator) -> Vec<usize> {
     let before = aggregator.backends.read(|state| state.parts.len());
     let answer = aggregator.ask("run-lookup", &[0, 1, 2, 3], 8000);
     assert!(answer.is_whole(), "{answer:?}");
@@ -84,7 +82,7 @@
 }
 
 /// Sends queries for some time.
-fn send_queries_for(aggregator: &Aggregator, span: Duration) {
+pub fn send_queries_for(aggregator: &Aggregator, span: Duration) {
     let started = Instant::now();
     while started.elapsed() < span {
         aggregator.ask("run-lookup", &[0, 1, 2, 3], 8000);
@@ -93,7 +91,7 @@
 }
 
 /// Waits until a run store gets parts.
-fn wait_until_used(aggregator: &Aggregator, store: usize) {
+pub fn wait_until_used(aggregator: &Aggregator, store: usize) {
     let started = Instant::now();
     while !used_run_stores(aggregator).contains(&store) {
         assert!(started.elapsed() < Duration::from_secs(30), "run store {store} never got a part");
@@ -101,7 +99,7 @@
 }
 
 /// Returns how long after `since` a run store got its last part; `None` if it got none before or after.
-fn last_part_after(aggregator: &Aggregator, store: usize, since: Instant) -> Option<Duration> {
+pub fn last_part_after(aggregator: &Aggregator, store: usize, since: Instant) -> Option<Duration> {
     aggregator.backends.read(|state| {
         let arrived = state.parts.iter().zip(&state.arrived_at).filter(|(part, _)| part.0 == store);
         let times: Vec<Instant> = arrived.map(|(_, at)| *at).collect();
@@ -333,177 +331,3 @@
         assert_eq!(server.read(|zone| zone.count(PTR)), 1, "{wire:?}");
     });
 }
-
-/// Asserts that a query is refused before its aim, with advice, and that no run store gets a part of it.
-#[track_caller]
-fn assert_refused_at_once(wire: Wire, aggregator: &Aggregator) {
-    let before = aggregator.backends.read(|state| state.parts.len());
-    let asked_at = Instant::now();
-    let answer = aggregator.ask("run-lookup", &[0, 1], 8000);
-    assert!(answer.is_refused() && answer.head.contains("retry-after"), "{wire:?}: {answer:?}");
-    assert!(asked_at.elapsed() < Duration::from_millis(2000), "{wire:?}: {:?}", asked_at.elapsed());
-    assert_eq!(aggregator.backends.read(|state| state.parts.len()), before, "{wire:?}");
-}
-
-/// Guards against run stores that stay in use after all records were removed (review/9).
-#[test]
-fn run_stores_whose_records_are_all_removed_get_nothing_new() {
-    on_both_wires(|wire| {
-        let (aggregator, server) = start(wire, 3, REFRESH_MS);
-        wait_until_used(&aggregator, 0);
-        server.change(|zone| zone.instances.clear());
-        server.wait_for_questions(PTR, 1);
-        // Answered at once, so that it is told from now on.
-        let told_at = Instant::now();
-        send_queries_for(&aggregator, Duration::from_millis(2050) + WATCH_LONGER);
-        if let Some(last) = last_part_after(&aggregator, 0, told_at) {
-            assert!(last <= Duration::from_millis(2050), "{wire:?}: a part came {last:?} after the answer");
-        }
-        assert_refused_at_once(wire, &aggregator);
-    });
-}
-
-/// Guards against queries that are given up at a run store in the middle of their parts, as its records are gone.
-#[test]
-fn parts_in_progress_are_answered_after_all_records_were_removed() {
-    on_both_wires(|wire| {
-        let (aggregator, server) = start(wire, 1, 100);
-        // The usual time of a part is known, so that it is not given up.
-        aggregator.backends.change(|state| state.service_time = Duration::from_millis(400));
-        for _ in 0..5 {
-            wait_until_served(&aggregator);
-        }
-        let before = aggregator.backends.read(|state| state.parts.len());
-        let mut in_progress = aggregator.send_query("run-lookup", &[0, 1], 9000);
-        aggregator.backends.wait("the parts", |state| state.parts.len() == before + 2);
-        server.change(|zone| zone.instances.clear());
-        aggregator.wait_for_log(EMPTY_LIST_LOG);
-        assert_refused_at_once(wire, &aggregator);
-        let answer = read_answer(&mut in_progress);
-        assert!(answer.is_whole(), "{wire:?}: {answer:?}");
-    });
-}
-
-/// Guards against service that does not return in time with the records, although each answer is slow.
-#[test]
-fn service_returns_with_the_records() {
-    on_both_wires(|wire| {
-        let (aggregator, server) = start(wire, 3, REFRESH_MS);
-        wait_until_served(&aggregator);
-        let instances = server.read(|zone| zone.instances.clone());
-        server.change(|zone| {
-            zone.instances.clear();
-            zone.delay = SLOW;
-        });
-        aggregator.wait_for_log(EMPTY_LIST_LOG);
-        assert_refused_at_once(wire, &aggregator);
-        let back_at = Instant::now();
-        server.change(|zone| zone.instances = instances);
-        wait_until_served(&aggregator);
-        assert!(back_at.elapsed() <= TOLD_WITHIN, "{wire:?}: served after {:?}", back_at.elapsed());
-    });
-}
-
-/// Guards against an answer that fails being taken for a list without run stores.
-#[test]
-fn a_failed_query_for_the_names_keeps_the_list() {
-    on_both_wires(|wire| {
-        thread::scope(|scope| {
-            for fault in FAILURES {
-                scope.spawn(move || {
-                    let (aggregator, server) = start(wire, 2, 100);
-                    wait_until_used(&aggregator, 1);
-                    wait_for_refresh(&server);
-                    server.change(|zone| {
-                        zone.faults.insert(("_run-store".into(), PTR), fault);
-                    });
-                    server.wait_for_questions(PTR, 3);
-                    assert_eq!(used_run_stores(&aggregator).len(), 4, "{wire:?}, {fault:?}");
-                    // Drains are told meanwhile.
-                    server.change(|zone| zone.instances[0].texts[1] = "status=draining".into());
-                    server.wait_for_questions(TXT, 5);
-                    assert_eq!(used_run_stores(&aggregator), [1; 4], "{wire:?}, {fault:?}");
-                    // The first list after the failure is empty.
-                    server.change(|zone| {
-                        zone.faults.clear();
-                        zone.instances.clear();
-                    });
-                    aggregator.wait_for_log(EMPTY_LIST_LOG);
-                    assert_refused_at_once(wire, &aggregator);
-                });
-            }
-        });
-    });
-}
-
-/// Guards against names without records keeping their run stores, and against failed answers removing them.
-#[test]
-fn names_without_records_are_gone_and_names_without_an_answer_stay() {
-    on_both_wires(|wire| {
-        let (aggregator, server) = start(wire, 2, 100);
-        wait_until_used(&aggregator, 1);
-        let set_all = |fault: Option<DnsFault>| {
-            server.change(|zone| {
-                zone.faults.clear();
-                let questions = [("s-0", SRV), ("s-1", SRV), ("s-0", TXT), ("s-1", TXT)];
-                for (label, record_type) in questions.into_iter().filter(|_| fault.is_some()) {
-                    zone.faults.extend(fault.map(|fault| ((label.into(), record_type), fault)));
-                }
-            });
-            wait_for_refresh(&server);
-        };
-        set_all(Some(DnsFault::SERVFAIL));
-        assert_eq!(used_run_stores(&aggregator).len(), 4, "{wire:?}");
-        set_all(Some(DnsFault::NXDOMAIN));
-        assert_refused_at_once(wire, &aggregator);
-        // What is gone does not come back by a failure.
-        set_all(Some(DnsFault::SERVFAIL));
-        assert_refused_at_once(wire, &aggregator);
-        set_all(None);
-        assert_eq!(used_run_stores(&aggregator).len(), 4, "{wire:?}");
-    });
-}
-
-/// Guards against an old list that outlives an empty first list: after a start, a reload and a handover.
-#[test]
-fn an_empty_first_list_replaces_the_one_that_was_known() {
-    on_both_wires(|wire| {
-        let server = DnsServer::start();
-        // Until the first answer, the known list is in effect.
-        server.change(|zone| {
-            zone.faults.insert(("_run-store".into(), PTR), DnsFault::SERVFAIL);
-        });
-        let aggregator = Aggregator::start_with_config(wire, 1, |config, _| {
-            let known = config["known"].clone();
-            use_dns(config, &server, 100);
-            config["known"] = known;
-        });
-        assert!(aggregator.ask("run-lookup", &[0], 8000).is_whole(), "{wire:?}");
-        server.change(|zone| zone.faults.clear());
-        aggregator.wait_for_log(EMPTY_LIST_LOG);
-        assert_refused_at_once(wire, &aggregator);
-
-        server.change(|zone| zone.instances = ready(&aggregator.stores));
-        wait_until_served(&aggregator);
-        let empty = DnsServer::start();
-        aggregator.reload(&aggregator.configuration(|config| {
-            config["dns_sd"]["server"] = json!(empty.address.to_string());
-        }));
-        aggregator.wait_for_log(EMPTY_LIST_LOG);
-        assert_refused_at_once(wire, &aggregator);
-
-        empty.change(|zone| zone.instances = ready(&aggregator.stores));
-        wait_until_served(&aggregator);
-        empty.change(|zone| {
-            zone.faults.insert(("_run-store".into(), PTR), DnsFault::SERVFAIL);
-        });
-        let successor = aggregator.start_successor();
-        wait_until_served(&successor);
-        empty.change(|zone| {
-            zone.faults.clear();
-            zone.instances.clear();
-        });
-        successor.wait_for_log(EMPTY_LIST_LOG);
-        assert_refused_at_once(wire, &successor);
-    });
-}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod copies;
 mod departed;
 mod dns_sd;
+mod dns_sd_empty;
 mod endings;
 mod faults;
 mod floods;
