--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -89,6 +89,7 @@
         self.ledger.queries.insert(no, query);
         self.ledger.deadlines.insert(no, deadline);
     }
+
     /// Returns why a query with this deadline is refused before the router sees it, which is safe as none of its parts
     /// has run; `None` if it is not.
     fn refusal_cause(&self, now: Millis, deadline: Millis) -> Option<Cause> {
