Compare the list to save with the one that the process started with

What a test saw: a_peer_starts_with_the_empty_list_of_the_store failed once in four runs beside eight busy loops (the old list is still there after 10 s).

Cause: the first version of save_directory read the saved list from the store when its task began. If a peer's newer list had arrived since the process chose the old one to start with, the old one differed from it and was saved again under a later time.

Change: the store is read once, for both.

--- a/src/service/program.rs
+++ b/src/service/program.rs
@@ -114,13 +114,14 @@
             Api::Platform => Rc::new(FrameTransport::new(driver.clone(), limits)),
             Api::Opensearch => Rc::new(SearchTransport::new(driver.clone(), limits)),
         };
-        let (known, version) = known_list(&config, state.as_ref(), store.as_ref().map(|(store, _)| &**store));
+        let saved = store.as_ref().and_then(|(store, _)| saved_list(store));
+        let (known, version) = known_list(&config, state.as_ref(), saved.as_ref());
         let (directory, reload) = build_directory(&config, version, &driver)?;
         driver.connect(stores, directory);
         driver.apply_directory_update(DirectoryUpdate::Cached(known.endpoints));
         executor.spawn(driver.clone().run()).detach();
         if let Some((store, _)) = &store {
-            executor.spawn(save_directory(store.clone(), driver.clone())).detach();
+            executor.spawn(save_directory(store.clone(), driver.clone(), saved)).detach();
         }
         let client_gate = Rc::new(ClientGate::default());
         client_gate.set_closed_by_operator(state.as_ref().is_some_and(|state| state.shut_by_operator));
@@ -296,8 +297,9 @@
     }
 }
 
-/// Returns the initial list of run stores, and its version at the configured discovery service.
-fn known_list(config: &Config, state: Option<&HandoverState>, store: Option<&Store>) -> (List, Option<u64>) {
+/// Returns the initial list of run stores, and its version at the configured discovery service. `saved` is the list in
+/// the store.
+fn known_list(config: &Config, state: Option<&HandoverState>, saved: Option<&List>) -> (List, Option<u64>) {
     if let Some(HandoverState { list, discovery, .. }) = state {
         // Versions of different services cannot be compared.
         let version = Some(list.index).filter(|index| *index > 0 && *discovery == config.discovery);
@@ -308,7 +310,7 @@
         return (known.clone(), Some(known.index));
     }
     // No list is known here, so start with the last one that a peer knew.
-    (store.and_then(saved_list).unwrap_or_default(), None)
+    (saved.cloned().unwrap_or_default(), None)
 }
 
 /// A directory for the core, and the interface that reloads it.
@@ -384,11 +386,12 @@
     serde_json::from_str(&store.get(store::DIRECTORY)?.value).ok()
 }
 
-/// Writes the directory's list to the store whenever it changes.
-async fn save_directory(store: Rc<Store>, driver: Rc<Driver>) {
-    // The list that this process started with is not news: saved anew, it would replace a newer one of a peer. Without
-    // any, nothing is saved before the first list.
-    let mut saved = saved_list(&store).unwrap_or_else(|| List::of(Vec::new()));
+/// Writes the directory's list to the store whenever it changes. `saved` is the list that was in the store when this
+/// process chose the one to start with.
+async fn save_directory(store: Rc<Store>, driver: Rc<Driver>, saved: Option<List>) {
+    // A list that this process took from the store is not news: saved anew, it would replace a newer one that a peer
+    // has saved meanwhile. Without any, nothing is saved before the first list.
+    let mut saved = saved.unwrap_or_else(|| List::of(Vec::new()));
     loop {
         let list = List::of(driver.directory());
         if list != saved {
