Compare run stores by id when the names in DNS-SD are answered

Cause: each answer about the names compared every run store with every one in use, which for the 3,000 that fit into an answer keeps the serving thread busy.

Change: they are looked up by id.

Measured: the 16 tests of DNS-SD pass; the cost was not measured.

--- a/src/directory/dns_sd.rs
+++ b/src/directory/dns_sd.rs
@@ -8,7 +8,7 @@
 //! several at a time if the server is quick.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -141,7 +141,10 @@
             self.driver.apply_directory_update(DirectoryUpdate::Full(run_stores));
         } else {
             // Without any change, the update tells the core that the directory can be reached.
-            let is_changed = |run_store: &ListedRunStore| !in_use.contains(run_store);
+            let in_use: BTreeMap<&ReplicaId, &ListedRunStore> =
+                in_use.iter().map(|run_store| (&run_store.replica.id, run_store)).collect();
+            let is_changed =
+                |run_store: &ListedRunStore| in_use.get(&run_store.replica.id) != Some(&run_store);
             let changes = run_stores.into_iter().filter(is_changed).collect();
             self.driver.apply_directory_update(DirectoryUpdate::Changes(changes));
         }
